--- /dev/null
+++ b/packages/core/src/blackboard.ts
@@ -0,0 +1,52 @@
+import type { ActiveConfiguration } from './configuration/types.ts';
+import type { MembershipView } from './membership/types.ts';
+import type { MoneyState } from './money/types.ts';
+import type { RequestState } from './requests/types.ts';
+import type { RoutingState } from './routing/types.ts';
+import type { Channel } from './scheduler/channel.ts';
+import type { AttemptEvent, CoreEvent, EventKind } from './types/events.ts';
+import type { RouterState } from './types/messages.ts';
+
+/** Who this router is. The incarnation changes when a paused router finds itself fenced. */
+export interface RouterIdentity {
+  readonly routerId: string;
+  readonly vmId: string;
+  readonly region: string;
+  /** The region that holds the platform's store. */
+  readonly storeRegion: string;
+  readonly availabilityZone: string;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+}
+
+/** Whether this process may dispatch: a long pause takes the confirmation away until the store gives it back. */
+export enum Confirmation {
+  Confirmed = 'confirmed',
+  Unconfirmed = 'unconfirmed',
+}
+
+export type EventOf<K extends EventKind> = Extract<CoreEvent, { readonly kind: K }>;
+
+/** Channels of calls that wait for a reply, by call, attempt or exchange identifier. */
+export interface ReplyChannels {
+  readonly tableCalls: Map<string, Channel<EventOf<EventKind.TableReply>>>;
+  readonly membershipCalls: Map<string, Channel<EventOf<EventKind.MembershipReply>>>;
+  readonly probes: Map<string, Channel<EventOf<EventKind.UpstreamProbed>>>;
+  readonly attempts: Map<string, Channel<AttemptEvent>>;
+  readonly exchanges: Map<string, Channel<EventOf<EventKind.CallerGone>>>;
+}
+
+/** The state that all controllers read and write. Each section is owned by the module that defines its type. */
+export interface Blackboard {
+  readonly identity: RouterIdentity;
+  incarnationId: string;
+  confirmation: Confirmation;
+  routerState: RouterState;
+  stopRequested: boolean;
+  configuration: ActiveConfiguration | undefined;
+  readonly membership: MembershipView;
+  readonly money: MoneyState;
+  readonly requests: RequestState;
+  readonly routing: RoutingState;
+  readonly replies: ReplyChannels;
+}
--- /dev/null
+++ b/packages/core/src/configuration/types.ts
@@ -0,0 +1,17 @@
+import type {
+  ConfigurationDocument,
+  ModelRule,
+  OrganisationSection,
+  PlainServiceSection,
+  StoredConfiguration,
+} from '../types/configuration.ts';
+
+/** The configuration in force, with the indexes that requests use. */
+export interface ActiveConfiguration {
+  readonly revision: number;
+  readonly stored: StoredConfiguration;
+  readonly document: ConfigurationDocument;
+  readonly organisationByKeySha256: ReadonlyMap<string, OrganisationSection>;
+  readonly ruleByModel: ReadonlyMap<string, ModelRule>;
+  readonly plainServiceById: ReadonlyMap<string, PlainServiceSection>;
+}
--- /dev/null
+++ b/packages/core/src/context.ts
@@ -0,0 +1,36 @@
+import type { Blackboard } from './blackboard.ts';
+import type { Channel } from './scheduler/channel.ts';
+import type { Task } from './scheduler/task.ts';
+import type { Effect } from './types/effects.ts';
+import type { ConfigurationParser } from './types/configuration.ts';
+import type { StepClock } from './types/events.ts';
+import type { CoreOptions } from './types/options.ts';
+
+/** What a controller may use: the blackboard, the time of the step, effects, tasks and identifiers. */
+export interface CoreContext {
+  readonly board: Blackboard;
+  readonly options: CoreOptions;
+  /** Time of the current step; it does not move while a step runs. */
+  readonly clock: StepClock;
+  readonly parseConfiguration: ConfigurationParser;
+  emit(effect: Effect): void;
+  spawn(name: string, task: Task<void>): void;
+  newId(): string;
+  /** A number in [0, 1) from the injected source. */
+  random(): number;
+}
+
+/** Registers a channel for the replies of one call and removes it when the task ends. */
+export function* withChannel<K, T, R>(
+  registry: Map<K, Channel<T>>,
+  key: K,
+  channel: Channel<T>,
+  body: Task<R>,
+): Task<R> {
+  registry.set(key, channel);
+  try {
+    return yield* body;
+  } finally {
+    registry.delete(key);
+  }
+}
--- /dev/null
+++ b/packages/core/src/controllers.ts
@@ -0,0 +1,17 @@
+import { configurationController } from './configuration/configurationController.ts';
+import type { CoreContext } from './context.ts';
+import { drainController } from './drain/drainController.ts';
+import { heartbeatController } from './membership/heartbeatController.ts';
+import { membershipController } from './membership/membershipController.ts';
+import { startMoneyControllers } from './money/startMoneyControllers.ts';
+import { probeController } from './routing/probeController.ts';
+
+/** Starts the tasks that run for the whole life of the router. */
+export function startControllers(context: CoreContext): void {
+  context.spawn('configuration', configurationController(context));
+  context.spawn('membership', membershipController(context));
+  context.spawn('heartbeat', heartbeatController(context));
+  context.spawn('probe', probeController(context));
+  context.spawn('drain', drainController(context));
+  startMoneyControllers(context);
+}
--- /dev/null
+++ b/packages/core/src/createBlackboard.ts
@@ -0,0 +1,27 @@
+import type { Blackboard, RouterIdentity } from './blackboard.ts';
+import { Confirmation } from './blackboard.ts';
+import { Channel } from './scheduler/channel.ts';
+import { RouterState } from './types/messages.ts';
+
+/** A blackboard without any knowledge: what a router has when its process starts. */
+export function createBlackboard(identity: RouterIdentity, incarnationId: string): Blackboard {
+  return {
+    identity,
+    incarnationId,
+    confirmation: Confirmation.Confirmed,
+    routerState: RouterState.Starting,
+    stopRequested: false,
+    configuration: undefined,
+    membership: { peers: new Map(), vms: new Map(), listReadAtMs: undefined, absentSinceMs: new Map() },
+    money: { shares: new Map(), ownRecords: new Map(), copies: new Map(), drawRequests: new Channel() },
+    requests: { running: new Map() },
+    routing: { upstreams: new Map() },
+    replies: {
+      tableCalls: new Map(),
+      membershipCalls: new Map(),
+      probes: new Map(),
+      attempts: new Map(),
+      exchanges: new Map(),
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/dispatchEvent.ts
@@ -0,0 +1,46 @@
+import { handleAdminRequest } from './configuration/handleAdminRequest.ts';
+import type { CoreContext } from './context.ts';
+import { dispatchPeerMessage } from './dispatchPeerMessage.ts';
+import { handleCallerRequest } from './requests/handleCallerRequest.ts';
+import type { CoreEvent } from './types/events.ts';
+import { EventKind } from './types/events.ts';
+
+/** Hands an event to the task that waits for it, or starts the task that serves it. */
+export function dispatchEvent(context: CoreContext, event: CoreEvent): void {
+  const { replies } = context.board;
+  switch (event.kind) {
+    case EventKind.TableReply:
+      replies.tableCalls.get(event.callId)?.push(event);
+      return;
+    case EventKind.MembershipReply:
+      replies.membershipCalls.get(event.callId)?.push(event);
+      return;
+    case EventKind.UpstreamProbed:
+      replies.probes.get(event.callId)?.push(event);
+      return;
+    case EventKind.UpstreamStarted:
+    case EventKind.UpstreamChunk:
+    case EventKind.UpstreamEnded:
+    case EventKind.UpstreamFailed:
+      // Events of an attempt that was given up find no channel and are dropped.
+      replies.attempts.get(event.attemptId)?.push(event);
+      return;
+    case EventKind.CallerGone:
+      replies.exchanges.get(event.exchangeId)?.push(event);
+      return;
+    case EventKind.CallerArrived:
+      context.spawn('request', handleCallerRequest(context, event));
+      return;
+    case EventKind.PeerReceived:
+      dispatchPeerMessage(context, event.sender, event.message);
+      return;
+    case EventKind.AdminArrived:
+      context.spawn('admin', handleAdminRequest(context, event.exchangeId, event.request));
+      return;
+    case EventKind.StopRequested:
+      context.board.stopRequested = true;
+      return;
+    case EventKind.Tick:
+      return;
+  }
+}
--- /dev/null
+++ b/packages/core/src/hash.ts
@@ -0,0 +1,21 @@
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** 32-bit FNV-1a with a final mix, so that keys that differ in the last character spread evenly. */
+export function hash32(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/** Orders candidates by rendezvous (highest random weight) hashing for a key: a change moves few keys. */
+export function rendezvousOrder(key: string, candidates: readonly string[]): string[] {
+  return candidates
+    .map((candidate) => ({ candidate, weight: hash32(`${key}|${candidate}`) }))
+    .sort((a, b) => b.weight - a.weight || a.candidate.localeCompare(b.candidate))
+    .map(({ candidate }) => candidate);
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,8 @@
+export { Confirmation } from './blackboard.ts';
+export type { Blackboard, RouterIdentity } from './blackboard.ts';
+export { hash32, rendezvousOrder } from './hash.ts';
+export type { RandomSource } from './random.ts';
+export { randomIdentifier, seededRandom } from './random.ts';
+export type { RouterCoreSetup, StepResult } from './routerCore.ts';
+export { RouterCore } from './routerCore.ts';
+export * from './types/index.ts';
--- /dev/null
+++ b/packages/core/src/money/checkForPause.ts
@@ -0,0 +1,19 @@
+import { Confirmation } from '../blackboard.ts';
+import type { CoreContext } from '../context.ts';
+import { logWarn } from '../log.ts';
+import type { StepClock } from '../types/events.ts';
+
+/** Takes the permission to dispatch away if either clock shows that the process was paused since the last step. */
+export function checkForPause(context: CoreContext, previous: StepClock): void {
+  const monotonicGapMs = context.clock.monotonicMs - previous.monotonicMs;
+  const wallGapMs = context.clock.wallMs - previous.wallMs;
+  const pausedMs = Math.max(monotonicGapMs, wallGapMs);
+  if (pausedMs <= context.options.pauseLimitMs) {
+    return;
+  }
+  context.board.confirmation = Confirmation.Unconfirmed;
+  logWarn(context, 'The process was paused; dispatch stops until the store confirms this incarnation.', {
+    pausedMs,
+    incarnationId: context.board.incarnationId,
+  });
+}
--- /dev/null
+++ b/packages/core/src/random.ts
@@ -0,0 +1,26 @@
+/** Returns a number in [0, 1). Injected, so that a seed repeats a run. */
+export type RandomSource = () => number;
+
+const UINT32_RANGE = 2 ** 32;
+
+/** A small seeded generator (mulberry32): fast, repeatable, not for secrets. */
+export function seededRandom(seed: number): RandomSource {
+  let state = seed >>> 0;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / UINT32_RANGE;
+  };
+}
+
+const IDENTIFIER_GROUPS = 4;
+
+/** A 128-bit identifier in hexadecimal. */
+export function randomIdentifier(random: RandomSource): string {
+  const groups = Array.from({ length: IDENTIFIER_GROUPS }, () => {
+    const value = Math.floor(random() * UINT32_RANGE);
+    return value.toString(16).padStart(8, '0');
+  });
+  return groups.join('');
+}
