Add the platform, engine, service and region-link stand-ins

Tests and the demo need the outside systems of docs/interfaces.md without any third-party server.

TableStore and EngineModel are pure classes: the first has no I/O, the second is driven by the times it is given. Thin HTTP servers supply the clock and the sockets. Control calls take a stand-in down, delay it, lose its replies or cut the link; audit calls report what it executed. Settings are YAML, checked by zod, and errors name the file, the field and the expected value. runStandIn starts one by kind until SIGTERM or SIGINT.

--- /dev/null
+++ b/packages/standins/src/engine/loadReporter.ts
@@ -0,0 +1,66 @@
+import type { EngineLoad } from '@pimentostall/core';
+import { hash32 } from '@pimentostall/core';
+import type { CacheEvent, EngineModel } from './engineModel.ts';
+
+interface LoadSnapshot {
+  readonly atMs: number;
+  readonly runningCount: number;
+  readonly queuedCount: number;
+}
+
+export interface LoadReporterOptions {
+  readonly loadLagMs: number;
+  /** Cached prefixes are reported this much later than the load. */
+  readonly cacheEventLagMs: number;
+  /** Each report repeats the cache events of this window, because several routers read it. */
+  readonly cacheEventWindowMs: number;
+  /** One of this many hashes is never reported; 0 reports all. */
+  readonly cacheEventGap: number;
+}
+
+export const DEFAULT_LOAD_REPORTER_OPTIONS: LoadReporterOptions = {
+  loadLagMs: 500,
+  cacheEventLagMs: 1_000,
+  cacheEventWindowMs: 5_000,
+  cacheEventGap: 5,
+};
+
+const MAX_REPORTED_HASHES = 256;
+
+/** Load reports that lag behind the engine, with late and incomplete cache events. */
+export class LoadReporter {
+  readonly #options: LoadReporterOptions;
+  #snapshots: LoadSnapshot[] = [];
+
+  constructor(options: Partial<LoadReporterOptions> = {}) {
+    this.#options = { ...DEFAULT_LOAD_REPORTER_OPTIONS, ...options };
+  }
+
+  observe(model: EngineModel, atMs: number): void {
+    const { runningCount, queuedCount } = model;
+    this.#snapshots.push({ atMs, runningCount, queuedCount });
+  }
+
+  report(events: readonly CacheEvent[], leaving: boolean, nowMs: number): EngineLoad {
+    const visible = this.#snapshots.filter(({ atMs }) => atMs <= nowMs - this.#options.loadLagMs);
+    const latest = visible.at(-1);
+    // Snapshots before the latest visible one are never reported again.
+    this.#snapshots = this.#snapshots.slice(Math.max(0, visible.length - 1));
+    return {
+      runningCount: latest?.runningCount ?? 0,
+      queuedCount: latest?.queuedCount ?? 0,
+      leaving,
+      ageMs: latest === undefined ? this.#options.loadLagMs : nowMs - latest.atMs,
+      cachedPrefixHashes: this.#reportedHashes(events, nowMs),
+    };
+  }
+
+  #reportedHashes(events: readonly CacheEvent[], nowMs: number): string[] {
+    const { cacheEventLagMs, cacheEventWindowMs, cacheEventGap } = this.#options;
+    const latestMs = nowMs - cacheEventLagMs;
+    const inWindow = events.filter(({ atMs }) => atMs <= latestMs && atMs > latestMs - cacheEventWindowMs);
+    const hashes = inWindow.flatMap((event) => event.hashes);
+    const reported = hashes.filter((hash) => cacheEventGap === 0 || hash32(hash) % cacheEventGap !== 0);
+    return reported.slice(-MAX_REPORTED_HASHES);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/sequence.ts
@@ -0,0 +1,59 @@
+import type { ChatMessage, EngineChunk } from '@pimentostall/core';
+import { expectedOutputTokens } from './answerText.ts';
+import type { PromptBlocks } from './promptBlocks.ts';
+import { promptBlocks } from './promptBlocks.ts';
+
+export interface EngineRequest {
+  readonly requestId: string;
+  readonly model: string;
+  readonly messages: readonly ChatMessage[];
+  readonly maxOutputTokens: number;
+  readonly priority: number;
+}
+
+export enum SequenceState {
+  Queued = 'queued',
+  Running = 'running',
+  Finished = 'finished',
+  Cancelled = 'cancelled',
+}
+
+/** A request in the engine with the tokens that it has generated so far. */
+export interface Sequence {
+  readonly request: EngineRequest;
+  readonly blocks: PromptBlocks;
+  readonly targetTokens: number;
+  readonly order: number;
+  readonly chunks: EngineChunk[];
+  state: SequenceState;
+  cachedPromptTokens: number;
+  /** When the next token is ready; meaningful while running. */
+  nextTokenMs: number;
+  readerCount: number;
+  /** When the last reader left, or the sequence ended. */
+  idleSinceMs: number;
+}
+
+export function createSequence(request: EngineRequest, order: number, nowMs: number): Sequence {
+  return {
+    request,
+    blocks: promptBlocks(request.messages),
+    targetTokens: expectedOutputTokens(request.requestId, request.maxOutputTokens),
+    order,
+    chunks: [],
+    state: SequenceState.Queued,
+    cachedPromptTokens: 0,
+    nextTokenMs: Infinity,
+    readerCount: 0,
+    idleSinceMs: nowMs,
+  };
+}
+
+/** Higher priority first, then in order of arrival. */
+export function compareQueued(a: Sequence, b: Sequence): number {
+  return b.request.priority - a.request.priority || a.order - b.order;
+}
+
+export function isOpen(sequence: Sequence): boolean {
+  return sequence.state === SequenceState.Queued || sequence.state === SequenceState.Running;
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export { expectedAnswer, expectedOutputTokens, tokenText } from './engine/answerText.ts';
+export type { EngineAuditEntry } from './engine/engineAudit.ts';
+export type { CacheEvent, EngineUsage } from './engine/engineModel.ts';
+export { EngineModel, SubmitOutcome } from './engine/engineModel.ts';
+export type { EngineModelOptions } from './engine/options.ts';
+export { DEFAULT_ENGINE_MODEL_OPTIONS } from './engine/options.ts';
+export { promptBlocks } from './engine/promptBlocks.ts';
+export type { EngineRequest, Sequence } from './engine/sequence.ts';
+export { SequenceState } from './engine/sequence.ts';
+export type { TableCounts } from './platform/tableStore.ts';
+export { TableStore } from './platform/tableStore.ts';
+export { runStandIn, StandInExit, StandInKind } from './runStandIn.ts';
--- /dev/null
+++ b/packages/standins/src/platform/tableStore.ts
@@ -0,0 +1,86 @@
+import type {
+  JsonValue,
+  RowCheck,
+  RowWrite,
+  TableOutcome,
+  TableRow,
+  TableTransaction,
+} from '@pimentostall/core';
+import { ABSENT_ROW_VERSION, TableOutcomeKind } from '@pimentostall/core';
+
+/** Calls that the table has executed. */
+export interface TableCounts {
+  readonly reads: number;
+  readonly scans: number;
+  readonly commits: number;
+  readonly conflicts: number;
+}
+
+/** A transactional table in memory. It does no I/O and reads no clock, so any test can drive it. */
+export class TableStore {
+  readonly #rows = new Map<string, TableRow>();
+  #counts: TableCounts = { reads: 0, scans: 0, commits: 0, conflicts: 0 };
+
+  /** Calls executed so far. */
+  get counts(): TableCounts {
+    return this.#counts;
+  }
+
+  /** Returns the rows that exist, in the order of the keys; missing rows are left out. */
+  read(keys: readonly string[]): TableRow[] {
+    this.#counts = { ...this.#counts, reads: this.#counts.reads + 1 };
+    return this.#currentRows(keys);
+  }
+
+  /** Returns all rows whose key starts with the prefix, ordered by key. */
+  scan(keyPrefix: string): TableRow[] {
+    this.#counts = { ...this.#counts, scans: this.#counts.scans + 1 };
+    return [...this.#rows.values()]
+      .filter((row) => row.key.startsWith(keyPrefix))
+      .sort((a, b) => (a.key < b.key ? -1 : 1))
+      .map(copyRow);
+  }
+
+  /** Applies all writes if every check holds; otherwise writes nothing and returns the checked rows. */
+  commit(transaction: TableTransaction): TableOutcome {
+    if (!transaction.checks.every((check) => this.#holds(check))) {
+      this.#counts = { ...this.#counts, conflicts: this.#counts.conflicts + 1 };
+      const rows = this.#currentRows(transaction.checks.map(({ key }) => key));
+      return { kind: TableOutcomeKind.Conflict, rows };
+    }
+    for (const write of transaction.writes) {
+      this.#apply(write);
+    }
+    this.#counts = { ...this.#counts, commits: this.#counts.commits + 1 };
+    return { kind: TableOutcomeKind.Committed };
+  }
+
+  #currentRows(keys: readonly string[]): TableRow[] {
+    return [...new Set(keys)].flatMap((key) => {
+      const row = this.#rows.get(key);
+      return row === undefined ? [] : [copyRow(row)];
+    });
+  }
+
+  #holds({ key, expectedVersion }: RowCheck): boolean {
+    return (this.#rows.get(key)?.version ?? ABSENT_ROW_VERSION) === expectedVersion;
+  }
+
+  #apply({ key, value }: RowWrite): void {
+    if (value === undefined) {
+      this.#rows.delete(key);
+      return;
+    }
+    const version = (this.#rows.get(key)?.version ?? ABSENT_ROW_VERSION) + 1;
+    this.#rows.set(key, { key, version, value: copyValue(value) });
+  }
+}
+
+/** Values are copied in and out, as over a network, so that no caller can change a row by reference. */
+function copyValue(value: JsonValue): JsonValue {
+  return structuredClone(value);
+}
+
+function copyRow(row: TableRow): TableRow {
+  return { ...row, value: copyValue(row.value) };
+}
