Start a router process that answers callers over HTTP

The core had no process around it.

Measured: on loopback GET /v1/health reaches the core and its answer (503 'not ready', the core's placeholder) comes back; an unknown path is answered 404 as problem details. The 3 existing tests pass.

--- /dev/null
+++ b/packages/cli/src/exitCodes.ts
@@ -0,0 +1,5 @@
+export enum ExitCode {
+  Success = 0,
+  Failure = 1,
+  WrongUsage = 2,
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,3 @@
+import { runCli } from './runCli.ts';
+
+void runCli(process.argv.slice(2));
--- /dev/null
+++ b/packages/shell/src/callers/callerServer.ts
@@ -0,0 +1,103 @@
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Problem } from '@pimentostall/core';
+import { EventKind } from '@pimentostall/core';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { createBoundedServer } from '../http/createBoundedServer.ts';
+import { closeServer, listen } from '../http/listen.ts';
+import { bodyProblem, malformed, problemBody, problemHeaders } from '../http/problems.ts';
+import { readBody } from '../http/readBody.ts';
+import type { ShellOptions } from '../options.ts';
+import type { EventSink } from '../routerLoop.ts';
+import { CallerExchange } from './callerExchange.ts';
+import type { ParsedCallerRequest } from './parseCallerRequest.ts';
+import { parseCallerRequest } from './parseCallerRequest.ts';
+import { parseTarget } from './parseTarget.ts';
+
+/** The HTTP server towards callers. */
+export class CallerServer {
+  private readonly exchanges = new Map<string, CallerExchange>();
+  private readonly server: Server;
+
+  constructor(
+    private readonly sink: EventSink,
+    private readonly options: ShellOptions,
+  ) {
+    this.server = createBoundedServer(options, (request, response) => {
+      void this.serve(request, response);
+    });
+  }
+
+  listen(address: string): Promise<string> {
+    return listen(this.server, address);
+  }
+
+  close(): Promise<void> {
+    return closeServer(this.server);
+  }
+
+  /** The exchange under way; undefined once the caller is gone. */
+  exchange(exchangeId: string): CallerExchange | undefined {
+    return this.exchanges.get(exchangeId);
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      const parsed = await this.readRequest(request);
+      if (parsed.isErr()) {
+        refuse(request, response, parsed.error);
+        return;
+      }
+      this.admit(response, parsed.value);
+    } catch {
+      refuse(request, response, malformed(400, 'Malformed request', 'The request could not be read.'));
+    }
+  }
+
+  private async readRequest(request: IncomingMessage): Promise<Result<ParsedCallerRequest, Problem>> {
+    const method = request.method ?? '';
+    const target = request.url ?? '';
+    // A path without a route is refused before its body is read.
+    const route = parseTarget(method, target);
+    if (route.isErr()) {
+      return err(route.error);
+    }
+    const { maxBodyBytes } = this.options;
+    const body = await readBody(request, maxBodyBytes);
+    if (body.isErr()) {
+      return err(bodyProblem(body.error, maxBodyBytes));
+    }
+    return ok(body.value).andThen((text) =>
+      parseCallerRequest({ method, target, headers: request.headers, body: text }),
+    );
+  }
+
+  private admit(response: ServerResponse, parsed: ParsedCallerRequest): void {
+    const exchangeId = randomUUID();
+    if (response.destroyed) {
+      return;
+    }
+    this.exchanges.set(exchangeId, new CallerExchange(response, this.options));
+    response.on('close', () => {
+      this.exchanges.delete(exchangeId);
+      if (!response.writableFinished) {
+        this.sink.submit({ kind: EventKind.CallerGone, exchangeId });
+      }
+    });
+    this.sink.submit({ kind: EventKind.CallerArrived, exchangeId, ...parsed });
+  }
+}
+
+function refuse(request: IncomingMessage, response: ServerResponse, problem: Problem): void {
+  if (response.destroyed || response.headersSent) {
+    return;
+  }
+  const headers = problemHeaders(problem);
+  if (!request.complete) {
+    // The rest of the body is not read, so the connection cannot carry another request.
+    headers.Connection = 'close';
+  }
+  response.writeHead(problem.status, headers);
+  response.end(problemBody(problem));
+}
--- /dev/null
+++ b/packages/shell/src/http/clientErrors.ts
@@ -0,0 +1,34 @@
+import type { Server } from 'node:http';
+import type { Duplex } from 'node:stream';
+import type { Problem } from '@pimentostall/core';
+import { malformed, PROBLEM_CONTENT_TYPE, problemBody } from './problems.ts';
+
+function problemOf(code: string | undefined): Problem {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return malformed(431, 'Headers too large', 'Send fewer or shorter headers.');
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return malformed(408, 'Request timed out', 'Send the whole request without long breaks.');
+    default:
+      return malformed(400, 'Malformed HTTP request', 'The request is not valid HTTP/1.1.');
+  }
+}
+
+/** Answers requests that Node's HTTP parser rejects with problem details and closes their connection. */
+export function answerClientErrors(server: Server): void {
+  server.on('clientError', (cause: NodeJS.ErrnoException, socket: Duplex) => {
+    if (!socket.writable || cause.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const problem = problemOf(cause.code);
+    const body = problemBody(problem);
+    const head = [
+      `HTTP/1.1 ${problem.status} ${problem.title}`,
+      `Content-Type: ${PROBLEM_CONTENT_TYPE}`,
+      `Content-Length: ${Buffer.byteLength(body)}`,
+      'Connection: close',
+    ];
+    socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  });
+}
--- /dev/null
+++ b/packages/shell/src/http/readBody.ts
@@ -0,0 +1,50 @@
+import type { IncomingMessage } from 'node:http';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+
+export enum BodyFault {
+  TooLarge = 'tooLarge',
+  NotUtf8 = 'notUtf8',
+  Encoded = 'encoded',
+  Aborted = 'aborted',
+}
+
+const UTF8 = new TextDecoder('utf-8', { fatal: true, ignoreBOM: true });
+
+function decode(parts: readonly Buffer[]): Result<string, BodyFault> {
+  try {
+    return ok(UTF8.decode(Buffer.concat(parts)));
+  } catch {
+    return err(BodyFault.NotUtf8);
+  }
+}
+
+/** Reads a request body as text, up to the size limit. It never rejects. */
+export function readBody(request: IncomingMessage, maxBytes: number): Promise<Result<string, BodyFault>> {
+  const encoding = request.headers['content-encoding'] ?? 'identity';
+  if (encoding !== 'identity') {
+    return Promise.resolve(err(BodyFault.Encoded));
+  }
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let sizeBytes = 0;
+    request.on('data', (part: Buffer) => {
+      sizeBytes += part.length;
+      if (sizeBytes > maxBytes) {
+        request.pause();
+        resolve(err(BodyFault.TooLarge));
+        return;
+      }
+      parts.push(part);
+    });
+    request.on('end', () => {
+      resolve(decode(parts));
+    });
+    request.on('close', () => {
+      resolve(err(BodyFault.Aborted));
+    });
+    request.on('error', () => {
+      resolve(err(BodyFault.Aborted));
+    });
+  });
+}
--- a/packages/shell/src/index.ts
+++ b/packages/shell/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export type { RunningRouter } from './startRouter.ts';
+export { startRouter } from './startRouter.ts';
--- /dev/null
+++ b/packages/shell/src/logs.ts
@@ -0,0 +1,8 @@
+import type { LogThreshold } from '@pimentostall/settings';
+import type { Logger } from 'pino';
+import { pino } from 'pino';
+
+/** JSON lines on standard output. Callers of the logger pass no prompt text and no credentials. */
+export function createLogger(level: LogThreshold, routerId: string): Logger {
+  return pino({ level, base: { routerId }, timestamp: pino.stdTimeFunctions.isoTime });
+}
