Add the upstream, platform, peer and administration adapters, metrics, the command line and the binary

A core effect had no adapter except the caller's. Each effect now has one; peers use protobuf code generated by 'npm run generate'. A guard at undici's request start checks for a pause directly before the write, and decides bytesSent.

Histograms use one digit: 'npm run bench:histograms' measured 23.2 MB for 10,800 histograms (2,700 organisations, 4 each), 88.8 MB with two digits and 60.6 MB packed.

--- a/packages/cli/src/commands/router.ts
+++ b/packages/cli/src/commands/router.ts
@@ -1,7 +1,27 @@
 import { formatFaults, loadRouterSettings } from '@pimentostall/settings';
+import type { RunningRouter } from '@pimentostall/shell';
 import { startRouter } from '@pimentostall/shell';
 import type { CAC } from 'cac';
 import { ExitCode } from '../exitCodes.ts';
+import { requiredOption } from '../requiredOption.ts';
+
+/** A fault in an adapter ends one exchange, never the router; what escapes an adapter is logged here. */
+function logEscapedFaults(router: RunningRouter): void {
+  const log = (cause: unknown): void => {
+    router.logger.error({ err: cause }, 'A fault escaped an adapter. Please report this as a defect.');
+  };
+  process.on('uncaughtException', log);
+  process.on('unhandledRejection', log);
+}
+
+function stopOnSignals(router: RunningRouter): void {
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.on(signal, () => {
+      router.logger.info({ signal }, 'The router was asked to stop');
+      router.requestStop();
+    });
+  }
+}
 
 async function run(file: string): Promise<void> {
   const settings = loadRouterSettings(file);
@@ -10,7 +30,11 @@
     process.exitCode = ExitCode.Failure;
     return;
   }
-  await startRouter(settings.value);
+  const router = await startRouter(settings.value);
+  logEscapedFaults(router);
+  stopOnSignals(router);
+  await router.exited;
+  process.exit(ExitCode.Success);
 }
 
 /** `pimentostall router --settings FILE`: runs one router until it is stopped. */
@@ -18,5 +42,5 @@
   cli
     .command('router', 'Run a router')
     .option('--settings <file>', 'YAML settings of this router')
-    .action((options: { settings: string }) => run(options.settings));
+    .action((options: { settings?: unknown }) => run(requiredOption(options.settings, '--settings FILE')));
 }
--- /dev/null
+++ b/packages/cli/src/version.ts
@@ -0,0 +1,3 @@
+import packageFile from '../package.json' with { type: 'json' };
+
+export const VERSION: string = packageFile.version;
--- /dev/null
+++ b/packages/metrics/src/histogramSeries.ts
@@ -0,0 +1,56 @@
+import type { BitBucketSize, Histogram } from 'hdr-histogram-js';
+import { build } from 'hdr-histogram-js';
+
+export interface HistogramShape {
+  readonly digits: 1 | 2 | 3;
+  readonly bitBucketSize: BitBucketSize;
+  readonly highestMs: number;
+}
+
+/**
+ * One digit resolves a quantile to about 6%. `npm run bench:histograms` measured 23 MB for 2,700 organisations with
+ * one class; two digits took 89 MB, and 61 MB packed, of the 128 MB that a router may use for control.
+ */
+export const DEFAULT_HISTOGRAM_SHAPE: HistogramShape = {
+  digits: 1,
+  bitBucketSize: 32,
+  highestMs: 600_000,
+};
+
+/** A histogram of times with its exact sum. */
+export class HistogramSeries {
+  private readonly histogram: Histogram;
+  private sumMs = 0;
+
+  constructor(private readonly shape: HistogramShape = DEFAULT_HISTOGRAM_SHAPE) {
+    this.histogram = build({
+      bitBucketSize: shape.bitBucketSize,
+      autoResize: false,
+      lowestDiscernibleValue: 1,
+      highestTrackableValue: shape.highestMs,
+      numberOfSignificantValueDigits: shape.digits,
+    });
+  }
+
+  /** Values outside the range count at its border, so that no measured value is lost. */
+  record(valueMs: number): void {
+    if (!Number.isFinite(valueMs)) {
+      return;
+    }
+    const bounded = Math.min(Math.max(valueMs, 0), this.shape.highestMs);
+    this.histogram.recordValue(Math.round(bounded));
+    this.sumMs += bounded;
+  }
+
+  quantileMs(quantile: number): number {
+    return this.histogram.getValueAtPercentile(quantile * 100);
+  }
+
+  get totalMs(): number {
+    return this.sumMs;
+  }
+
+  get count(): number {
+    return this.histogram.totalCount;
+  }
+}
--- /dev/null
+++ b/packages/metrics/src/metricsRegistry.ts
@@ -0,0 +1,98 @@
+import type { Effect, EffectKind } from '@pimentostall/core';
+import { MetricKind } from '@pimentostall/core';
+import { HistogramSeries } from './histogramSeries.ts';
+import { counterLine, headerLines, histogramLines } from './prometheusText.ts';
+
+export type Measurement = Omit<Extract<Effect, { readonly kind: EffectKind.Metric }>, 'kind'>;
+
+interface Series<T> {
+  readonly labels: Readonly<Record<string, string>>;
+  readonly value: T;
+}
+
+/** Bounds memory if identifiers without end arrive; more organisations and classes share one series. */
+const MAX_SERIES_PER_METRIC = 16_384;
+const OVERFLOW_LABEL = 'other';
+
+const HISTOGRAMS = {
+  [MetricKind.TimeToFirstToken]: 'pimentostall_time_to_first_token_seconds',
+  [MetricKind.TimeBetweenTokens]: 'pimentostall_time_between_tokens_seconds',
+  [MetricKind.TotalTime]: 'pimentostall_request_seconds',
+  [MetricKind.QueueWait]: 'pimentostall_queue_wait_seconds',
+} as const;
+
+const COUNTERS = {
+  [MetricKind.Answered]: 'pimentostall_answered_total',
+  [MetricKind.Refused]: 'pimentostall_refused_total',
+} as const;
+
+function findSeries<T>(
+  metric: Map<string, Series<T>>,
+  labels: Readonly<Record<string, string>>,
+  create: () => T,
+): Series<T> {
+  const key = JSON.stringify(labels);
+  const known = metric.get(key);
+  if (known !== undefined) {
+    return known;
+  }
+  if (metric.size >= MAX_SERIES_PER_METRIC && labels.organisation !== OVERFLOW_LABEL) {
+    return findSeries(metric, { ...labels, organisation: OVERFLOW_LABEL, class: OVERFLOW_LABEL }, create);
+  }
+  const series = { labels, value: create() };
+  metric.set(key, series);
+  return series;
+}
+
+/** Histograms and counters of one router, by organisation and class. */
+export class MetricsRegistry {
+  private readonly histograms = new Map<string, Map<string, Series<HistogramSeries>>>();
+  private readonly counters = new Map<string, Map<string, Series<{ total: number }>>>();
+
+  record(measurement: Measurement): void {
+    const { metric, organisationId, classId, label, value } = measurement;
+    const labels = { organisation: organisationId, class: classId };
+    switch (metric) {
+      case MetricKind.TimeToFirstToken:
+      case MetricKind.TimeBetweenTokens:
+      case MetricKind.TotalTime:
+      case MetricKind.QueueWait:
+        this.recordTime(HISTOGRAMS[metric], labels, value);
+        return;
+      case MetricKind.Answered:
+      case MetricKind.Refused:
+        this.count(COUNTERS[metric], { ...labels, reason: label }, value);
+        return;
+    }
+  }
+
+  /** All series in the Prometheus text format. */
+  prometheusText(): string {
+    const lines: string[] = [];
+    for (const [name, metric] of this.histograms) {
+      lines.push(...headerLines(name, 'summary'));
+      for (const { labels, value } of metric.values()) {
+        lines.push(...histogramLines(name, labels, value));
+      }
+    }
+    for (const [name, metric] of this.counters) {
+      lines.push(...headerLines(name, 'counter'));
+      for (const { labels, value } of metric.values()) {
+        lines.push(counterLine(name, labels, value.total));
+      }
+    }
+    return `${lines.join('\n')}\n`;
+  }
+
+  private recordTime(name: string, labels: Readonly<Record<string, string>>, valueMs: number): void {
+    const metric = this.histograms.get(name) ?? new Map<string, Series<HistogramSeries>>();
+    this.histograms.set(name, metric);
+    findSeries(metric, labels, () => new HistogramSeries()).value.record(valueMs);
+  }
+
+  private count(name: string, labels: Readonly<Record<string, string>>, value: number): void {
+    const metric = this.counters.get(name) ?? new Map<string, Series<{ total: number }>>();
+    this.counters.set(name, metric);
+    findSeries(metric, labels, () => ({ total: 0 })).value.total += value;
+  }
+}
--- /dev/null
+++ b/packages/shell/src/http/readAnswer.ts
@@ -0,0 +1,13 @@
+/** Reads a whole answer as text; throws if it is larger than the limit. */
+export async function readAnswer(body: AsyncIterable<Buffer>, maxBytes: number): Promise<string> {
+  const parts: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const part of body) {
+    sizeBytes += part.length;
+    if (sizeBytes > maxBytes) {
+      throw new Error(`The answer is larger than ${maxBytes} bytes.`);
+    }
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString('utf8');
+}
--- /dev/null
+++ b/packages/shell/src/peers/peerAdapter.ts
@@ -0,0 +1,119 @@
+import type { ChannelOptions, sendUnaryData, ServerUnaryCall, UntypedHandleCall } from '@grpc/grpc-js';
+import { Client, credentials, Server, ServerCredentials, status } from '@grpc/grpc-js';
+import type { PeerMessage, PeerSender } from '@pimentostall/core';
+import { EventKind } from '@pimentostall/core';
+import type { Logger } from 'pino';
+import type { AddressResolver } from '../addresses.ts';
+import { splitAddress } from '../addresses.ts';
+import type { ShellOptions } from '../options.ts';
+import type { EventSink } from '../routerLoop.ts';
+import { decodeEnvelope } from './decodeEnvelope.ts';
+import { encodeEnvelope } from './encodeEnvelope.ts';
+import { PEER_SERVICE } from './peerService.ts';
+
+interface PeerConnection {
+  readonly client: Client;
+  callsInFlight: number;
+}
+
+export interface PeerAdapterSetup {
+  readonly sink: EventSink;
+  readonly options: ShellOptions;
+  readonly logger: Logger;
+  readonly resolveAddress: AddressResolver;
+  /** Read at each message, because a fenced router takes a new incarnation. */
+  readonly sender: () => PeerSender;
+}
+
+/** Messages between routers. A message that cannot be delivered is dropped: the core repeats what it needs. */
+export class PeerAdapter {
+  private readonly server: Server;
+  private readonly connections = new Map<string, PeerConnection>();
+  private readonly channelOptions: ChannelOptions;
+
+  constructor(private readonly setup: PeerAdapterSetup) {
+    const { maxPeerMessageBytes } = setup.options;
+    this.channelOptions = {
+      'grpc.max_receive_message_length': maxPeerMessageBytes,
+      'grpc.max_send_message_length': maxPeerMessageBytes,
+      // A peer that returns from a partition must be reached again soon.
+      'grpc.initial_reconnect_backoff_ms': 200,
+      'grpc.max_reconnect_backoff_ms': 2_000,
+    };
+    this.server = new Server(this.channelOptions);
+    const deliver = (call: ServerUnaryCall<Buffer, undefined>, reply: sendUnaryData<undefined>): void => {
+      this.receive(call.request, reply);
+    };
+    this.server.addService(PEER_SERVICE, { deliver: deliver as UntypedHandleCall });
+  }
+
+  listen(address: string): Promise<string> {
+    const { host } = splitAddress(address);
+    return new Promise((resolve, reject) => {
+      this.server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => {
+        if (error === null) {
+          resolve(`${host}:${port}`);
+        } else {
+          reject(error);
+        }
+      });
+    });
+  }
+
+  send(peerAddress: string, message: PeerMessage): void {
+    const { options, logger, sender } = this.setup;
+    const connection = this.connection(peerAddress);
+    if (connection.callsInFlight >= options.maxPeerCallsInFlight) {
+      logger.debug({ peerAddress, kind: message.kind }, 'A message to a slow peer was dropped');
+      return;
+    }
+    const { path, requestSerialize, responseDeserialize } = PEER_SERVICE.deliver;
+    const deadline = Date.now() + options.peerTimeoutMs;
+    const bytes = encodeEnvelope(sender(), message);
+    connection.callsInFlight += 1;
+    connection.client.makeUnaryRequest(
+      path,
+      requestSerialize,
+      responseDeserialize,
+      bytes,
+      { deadline },
+      (error) => {
+        connection.callsInFlight -= 1;
+        if (error !== null) {
+          logger.debug({ peerAddress, kind: message.kind, code: error.code }, 'A peer message was lost');
+        }
+      },
+    );
+  }
+
+  close(): void {
+    for (const { client } of this.connections.values()) {
+      client.close();
+    }
+    this.connections.clear();
+    this.server.forceShutdown();
+  }
+
+  private connection(peerAddress: string): PeerConnection {
+    const address = this.setup.resolveAddress(peerAddress);
+    const known = this.connections.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const client = new Client(address, credentials.createInsecure(), this.channelOptions);
+    const connection = { client, callsInFlight: 0 };
+    this.connections.set(address, connection);
+    return connection;
+  }
+
+  private receive(bytes: Buffer, reply: sendUnaryData<undefined>): void {
+    try {
+      const { sender, message } = decodeEnvelope(bytes);
+      this.setup.sink.submit({ kind: EventKind.PeerReceived, sender, message });
+      reply(null, undefined);
+    } catch (cause) {
+      this.setup.logger.warn({ err: cause }, 'A malformed peer message was refused');
+      reply({ code: status.INVALID_ARGUMENT, details: 'The envelope is malformed.' });
+    }
+  }
+}
--- /dev/null
+++ b/packages/shell/src/platform/platformAdapter.ts
@@ -0,0 +1,107 @@
+import type { Effect, EffectKind, TableOutcome, TableRow, VmRow } from '@pimentostall/core';
+import { EventKind, TableOutcomeKind } from '@pimentostall/core';
+import { Agent } from 'undici';
+import { readAnswer } from '../http/readAnswer.ts';
+import type { ShellOptions } from '../options.ts';
+import type { EventSink } from '../routerLoop.ts';
+
+type EffectOf<K extends EffectKind> = Extract<Effect, { readonly kind: K }>;
+
+interface Answer {
+  readonly status: number;
+  readonly body: { readonly rows?: unknown; readonly committed?: unknown };
+}
+
+const UNKNOWN: TableOutcome = { kind: TableOutcomeKind.Unknown };
+
+function isTableRow(row: unknown): row is TableRow {
+  const { key, version, value } = (row ?? {}) as Partial<TableRow>;
+  return typeof key === 'string' && Number.isSafeInteger(version) && value !== undefined;
+}
+
+function isVmRow(row: unknown): row is VmRow {
+  const fields = (row ?? {}) as Record<string, unknown>;
+  const names = ['vmId', 'address', 'role', 'state', 'region', 'availabilityZone'];
+  return names.every((name) => typeof fields[name] === 'string');
+}
+
+function rowsOf<T>(answer: Answer, isRow: (row: unknown) => row is T): readonly T[] | undefined {
+  const { rows } = answer.body;
+  return Array.isArray(rows) && rows.every(isRow) ? rows : undefined;
+}
+
+function readOutcome(answer: Answer | undefined): TableOutcome {
+  const rows = answer?.status === 200 ? rowsOf(answer, isTableRow) : undefined;
+  return rows === undefined ? UNKNOWN : { kind: TableOutcomeKind.Rows, rows };
+}
+
+function commitOutcome(answer: Answer | undefined): TableOutcome {
+  if (answer?.status === 200 && answer.body.committed === true) {
+    return { kind: TableOutcomeKind.Committed };
+  }
+  const rows = answer?.status === 409 ? rowsOf(answer, isTableRow) : undefined;
+  return rows === undefined ? UNKNOWN : { kind: TableOutcomeKind.Conflict, rows };
+}
+
+/** Calls of the platform's table and membership list. Whatever is not a clear answer is `Unknown`. */
+export class PlatformAdapter {
+  private readonly agent: Agent;
+
+  constructor(
+    private readonly sink: EventSink,
+    private readonly options: ShellOptions,
+    private readonly address: string,
+  ) {
+    this.agent = new Agent({ connect: { timeout: options.connectTimeoutMs }, pipelining: 1 });
+  }
+
+  read(effect: EffectOf<EffectKind.TableRead>): void {
+    void this.call('POST', '/table/read', { keys: effect.keys }).then((answer) => {
+      this.reply(effect.callId, readOutcome(answer));
+    });
+  }
+
+  scan(effect: EffectOf<EffectKind.TableScan>): void {
+    void this.call('POST', '/table/scan', { keyPrefix: effect.keyPrefix }).then((answer) => {
+      this.reply(effect.callId, readOutcome(answer));
+    });
+  }
+
+  commit(effect: EffectOf<EffectKind.TableCommit>): void {
+    void this.call('POST', '/table/commit', effect.transaction).then((answer) => {
+      this.reply(effect.callId, commitOutcome(answer));
+    });
+  }
+
+  members(effect: EffectOf<EffectKind.MembershipRead>): void {
+    void this.call('GET', '/members').then((answer) => {
+      const rows = answer?.status === 200 ? rowsOf(answer, isVmRow) : undefined;
+      this.sink.submit({ kind: EventKind.MembershipReply, callId: effect.callId, rows });
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private reply(callId: string, outcome: TableOutcome): void {
+    this.sink.submit({ kind: EventKind.TableReply, callId, outcome });
+  }
+
+  private async call(method: 'GET' | 'POST', path: string, body?: unknown): Promise<Answer | undefined> {
+    try {
+      const response = await this.agent.request({
+        origin: `http://${this.address}`,
+        method,
+        path,
+        headers: body === undefined ? {} : { 'content-type': 'application/json' },
+        body: body === undefined ? undefined : JSON.stringify(body),
+        signal: AbortSignal.timeout(this.options.platformTimeoutMs),
+      });
+      const text = await readAnswer(response.body, this.options.maxAnswerBytes);
+      return { status: response.statusCode, body: (JSON.parse(text) ?? {}) as Answer['body'] };
+    } catch {
+      return undefined;
+    }
+  }
+}
--- a/packages/shell/src/startRouter.ts
+++ b/packages/shell/src/startRouter.ts
@@ -1,52 +1,127 @@
-import type { Effect } from '@pimentostall/core';
-import { EffectKind, RouterCore } from '@pimentostall/core';
+import type { PeerSender } from '@pimentostall/core';
+import { DEFAULT_CORE_OPTIONS, EventKind, RouterCore } from '@pimentostall/core';
+import { MetricsRegistry } from '@pimentostall/metrics';
 import type { RouterSettings } from '@pimentostall/settings';
 import { parseConfigurationSections } from '@pimentostall/settings';
+import type { Logger } from 'pino';
+import { createAddressResolver } from './addresses.ts';
+import { AdminServer } from './administration/adminServer.ts';
 import { CallerServer } from './callers/callerServer.ts';
 import { readSystemClock } from './clock.ts';
+import type { Adapters } from './executeEffect.ts';
+import { executeEffect } from './executeEffect.ts';
 import { createLogger } from './logs.ts';
+import type { ShellOptions } from './options.ts';
 import { DEFAULT_SHELL_OPTIONS } from './options.ts';
+import { PeerAdapter } from './peers/peerAdapter.ts';
+import { PlatformAdapter } from './platform/platformAdapter.ts';
 import { RouterLoop, SYSTEM_TIMERS } from './routerLoop.ts';
 import { systemRandom } from './systemRandom.ts';
+import { UpstreamAdapter } from './upstreams/upstreamAdapter.ts';
 
 export interface RunningRouter {
+  readonly logger: Logger;
+  /** Addresses as bound: settings with port 0 get a free port. */
   readonly callerAddress: string;
-  stop(): Promise<void>;
+  readonly peerAddress: string;
+  readonly adminAddress: string;
+  /** Asks the core to drain; `exited` resolves when it has. */
+  requestStop(): void;
+  readonly exited: Promise<void>;
 }
 
-/** Starts the caller side of a router around one core. */
-export async function startRouter(settings: RouterSettings): Promise<RunningRouter> {
-  const logger = createLogger(settings.logLevel, settings.identity.routerId);
-  const core = new RouterCore({
+function createCore(settings: RouterSettings): RouterCore {
+  return new RouterCore({
     identity: settings.identity,
     random: systemRandom,
     clock: readSystemClock(),
     parseConfiguration: parseConfigurationSections,
     options: settings.options,
   });
-  const execute = (effect: Effect): void => {
-    if (effect.kind === EffectKind.CallerProblem) {
-      callers.exchange(effect.exchangeId)?.endWithProblem(effect.problem);
-    }
+}
+
+function senderOf(core: RouterCore): PeerSender {
+  const { identity, incarnationId } = core.board;
+  const { routerId, vmId, region, availabilityZone, peerAddress } = identity;
+  return { routerId, vmId, incarnationId, region, availabilityZone, peerAddress };
+}
+
+function createAdapters(
+  settings: RouterSettings,
+  core: RouterCore,
+  loop: RouterLoop,
+  options: ShellOptions,
+  base: Pick<Adapters, 'logger' | 'exit'>,
+): Adapters {
+  const resolveAddress = createAddressResolver(settings.addressOverrides);
+  const metrics = new MetricsRegistry();
+  const callers = new CallerServer(loop, options);
+  return {
+    ...base,
+    metrics,
+    callers,
+    upstreams: new UpstreamAdapter({
+      sink: loop,
+      options,
+      readClock: readSystemClock,
+      pauseLimitMs: settings.options.pauseLimitMs ?? DEFAULT_CORE_OPTIONS.pauseLimitMs,
+      resolveAddress,
+      callerWritable: (exchangeId) => callers.exchange(exchangeId)?.writable() ?? Promise.resolve(),
+    }),
+    platform: new PlatformAdapter(loop, options, resolveAddress(settings.platformAddress)),
+    peers: new PeerAdapter({
+      sink: loop,
+      options,
+      logger: base.logger,
+      resolveAddress,
+      sender: () => senderOf(core),
+    }),
+    administration: new AdminServer(loop, options, () => metrics.prometheusText()),
   };
-  const { maxStepIntervalMs } = DEFAULT_SHELL_OPTIONS;
-  const loop = new RouterLoop({
+}
+
+async function closeAdapters(adapters: Adapters): Promise<void> {
+  adapters.peers.close();
+  await Promise.all([
+    adapters.callers.close(),
+    adapters.administration.close(),
+    adapters.upstreams.close(),
+    adapters.platform.close(),
+  ]);
+}
+
+/** Starts a router: one core, its loop and all adapters. Rejects if an address cannot be bound. */
+export async function startRouter(settings: RouterSettings): Promise<RunningRouter> {
+  const { identity } = settings;
+  const options = DEFAULT_SHELL_OPTIONS;
+  const logger = createLogger(settings.logLevel, identity.routerId);
+  const core = createCore(settings);
+  let markExited = (): void => undefined;
+  const exited = new Promise<void>((resolve) => {
+    markExited = resolve;
+  });
+  const loop: RouterLoop = new RouterLoop({
     core,
     readClock: readSystemClock,
     timers: SYSTEM_TIMERS,
-    maxStepIntervalMs,
+    maxStepIntervalMs: options.maxStepIntervalMs,
     logger,
-    execute,
+    execute: (effect, steppedAt) => {
+      executeEffect(adapters, effect, steppedAt);
+    },
   });
-  const callers = new CallerServer(loop, DEFAULT_SHELL_OPTIONS);
-  const callerAddress = await callers.listen(settings.identity.callerAddress);
+  const exit = (): void => {
+    loop.stop();
+    void closeAdapters(adapters).then(markExited);
+  };
+  const adapters: Adapters = createAdapters(settings, core, loop, options, { logger, exit });
+  const callerAddress = await adapters.callers.listen(identity.callerAddress);
+  const peerAddress = await adapters.peers.listen(identity.peerAddress);
+  const adminAddress = await adapters.administration.listen(settings.adminAddress);
   loop.start();
-  logger.info({ callerAddress }, 'The router is listening');
-  return {
-    callerAddress,
-    stop: async () => {
-      loop.stop();
-      await callers.close();
-    },
+  logger.info({ callerAddress, peerAddress, adminAddress }, 'The router is listening');
+  const requestStop = (): void => {
+    loop.submit({ kind: EventKind.StopRequested });
   };
+  return { logger, callerAddress, peerAddress, adminAddress, requestStop, exited };
 }
--- /dev/null
+++ b/packages/shell/src/upstreams/parseEngine.ts
@@ -0,0 +1,69 @@
+import type { EngineChunk, EngineFinish, EngineLoad } from '@pimentostall/core';
+
+type Fields = Readonly<Record<string, unknown>>;
+
+function parseObject(text: string): Fields | undefined {
+  try {
+    const value: unknown = JSON.parse(text);
+    return typeof value === 'object' && value !== null ? (value as Fields) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function isCount(value: unknown): value is number {
+  return typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
+}
+
+/** Token counts of an engine; undefined if a count is missing, because money depends on them. */
+export function readFinish(value: unknown, defaultReason: string): EngineFinish | undefined {
+  if (typeof value !== 'object' || value === null) {
+    return undefined;
+  }
+  const { reason, promptTokens, cachedPromptTokens, outputTokens } = value as Fields;
+  if (!isCount(promptTokens) || !isCount(outputTokens)) {
+    return undefined;
+  }
+  return {
+    reason: typeof reason === 'string' ? reason : defaultReason,
+    promptTokens,
+    cachedPromptTokens: isCount(cachedPromptTokens) ? cachedPromptTokens : 0,
+    outputTokens,
+  };
+}
+
+/** Reads one chunk of a stream; undefined if it is malformed. */
+export function parseEngineChunk(text: string): EngineChunk | undefined {
+  const fields = parseObject(text);
+  if (fields === undefined || !isCount(fields.index) || typeof fields.text !== 'string') {
+    return undefined;
+  }
+  if (fields.finish === undefined || fields.finish === null) {
+    return { index: fields.index, text: fields.text, finish: undefined };
+  }
+  const finish = readFinish(fields.finish, 'stop');
+  return finish === undefined ? undefined : { index: fields.index, text: fields.text, finish };
+}
+
+/** Token counts of a cancelled stream. */
+export function parseCancelled(text: string): EngineFinish | undefined {
+  return readFinish(parseObject(text), 'cancelled');
+}
+
+/** Reads a load report; undefined if it is malformed. */
+export function parseEngineLoad(text: string): EngineLoad | undefined {
+  const fields = parseObject(text);
+  if (fields === undefined || !isCount(fields.runningCount) || !isCount(fields.queuedCount)) {
+    return undefined;
+  }
+  const hashes: readonly unknown[] = Array.isArray(fields.cachedPrefixHashes)
+    ? fields.cachedPrefixHashes
+    : [];
+  return {
+    runningCount: fields.runningCount,
+    queuedCount: fields.queuedCount,
+    leaving: fields.leaving === true,
+    ageMs: typeof fields.ageMs === 'number' ? fields.ageMs : 0,
+    cachedPrefixHashes: hashes.filter((hash) => typeof hash === 'string'),
+  };
+}
--- /dev/null
+++ b/packages/shell/src/upstreams/sseParser.ts
@@ -0,0 +1,48 @@
+export interface SseEvent {
+  readonly event: string;
+  readonly data: string;
+}
+
+/** Incremental parser of a server-sent event stream, with a bound on the size of one event. */
+export class SseParser {
+  private readonly decoder = new TextDecoder();
+  private rest = '';
+  private event = 'message';
+  private data: string[] = [];
+  private sizeChars = 0;
+
+  constructor(private readonly maxEventChars: number) {}
+
+  /** Returns the events that the part completes. Throws if an event is larger than the bound. */
+  push(part: Uint8Array): SseEvent[] {
+    const lines = (this.rest + this.decoder.decode(part, { stream: true })).split(/\r\n|\n|\r(?!$)/);
+    this.rest = lines.pop() ?? '';
+    const events: SseEvent[] = [];
+    for (const line of lines) {
+      this.takeLine(line, events);
+    }
+    if (this.sizeChars + this.rest.length > this.maxEventChars) {
+      throw new Error(`An event of the stream is larger than ${this.maxEventChars} characters.`);
+    }
+    return events;
+  }
+
+  private takeLine(line: string, events: SseEvent[]): void {
+    if (line === '') {
+      if (this.data.length > 0) {
+        events.push({ event: this.event, data: this.data.join('\n') });
+      }
+      this.event = 'message';
+      this.data = [];
+      this.sizeChars = 0;
+      return;
+    }
+    this.sizeChars += line.length;
+    const [, field, value] = /^([^:]*):? ?(.*)$/.exec(line) ?? [];
+    if (field === 'data') {
+      this.data.push(value ?? '');
+    } else if (field === 'event') {
+      this.event = value ?? '';
+    }
+  }
+}
--- /dev/null
+++ b/packages/shell/src/upstreams/upstreamAdapter.ts
@@ -0,0 +1,109 @@
+import type { Effect, EffectKind, StepClock } from '@pimentostall/core';
+import { EventKind } from '@pimentostall/core';
+import { Agent } from 'undici';
+import type { AddressResolver } from '../addresses.ts';
+import { wasPaused } from '../clock.ts';
+import { readAnswer } from '../http/readAnswer.ts';
+import type { ShellOptions } from '../options.ts';
+import type { EventSink } from '../routerLoop.ts';
+import { parseCancelled, parseEngineLoad } from './parseEngine.ts';
+import { UpstreamAttempt } from './upstreamAttempt.ts';
+import { streamPath } from './upstreamCall.ts';
+
+type EffectOf<K extends EffectKind> = Extract<Effect, { readonly kind: K }>;
+
+export interface UpstreamAdapterSetup {
+  readonly sink: EventSink;
+  readonly options: ShellOptions;
+  readonly readClock: () => StepClock;
+  readonly pauseLimitMs: number;
+  readonly resolveAddress: AddressResolver;
+  readonly callerWritable: (exchangeId: string) => Promise<void>;
+}
+
+/** Requests to engines and plain services. */
+export class UpstreamAdapter {
+  private readonly attempts = new Map<string, UpstreamAttempt>();
+  private readonly agent: Agent;
+
+  constructor(private readonly setup: UpstreamAdapterSetup) {
+    this.agent = new Agent({ connect: { timeout: setup.options.connectTimeoutMs }, pipelining: 1 });
+  }
+
+  open(effect: EffectOf<EffectKind.UpstreamOpen>, steppedAt: StepClock): void {
+    const { sink, options, readClock, pauseLimitMs, callerWritable } = this.setup;
+    const { attemptId, exchangeId } = effect;
+    const attempt = new UpstreamAttempt({
+      attemptId,
+      origin: this.origin(effect.address),
+      request: effect.request,
+      dispatcher: this.agent,
+      sink,
+      options,
+      mayWrite: () => !wasPaused(steppedAt, readClock(), pauseLimitMs),
+      callerWritable: () => (exchangeId === undefined ? Promise.resolve() : callerWritable(exchangeId)),
+    });
+    this.attempts.set(attemptId, attempt);
+    const remainingMs = Math.max(0, effect.deadlineMs - readClock().monotonicMs);
+    const deadline = setTimeout(() => {
+      attempt.abort('The deadline of the request passed.', false);
+    }, remainingMs);
+    void attempt.run().finally(() => {
+      clearTimeout(deadline);
+      this.attempts.delete(attemptId);
+    });
+  }
+
+  cancel(effect: EffectOf<EffectKind.UpstreamCancel>): void {
+    const attempt = this.attempts.get(effect.attemptId);
+    attempt?.abort('The attempt was cancelled.', effect.stopWork);
+    if (effect.stopWork) {
+      void this.stopWork(effect, attempt?.nextIndex ?? 0);
+    }
+  }
+
+  probe(effect: EffectOf<EffectKind.UpstreamProbe>): void {
+    const { callId, address } = effect;
+    void this.call(address, 'GET', '/load').then((answer) => {
+      const load = answer === undefined ? undefined : parseEngineLoad(answer);
+      this.setup.sink.submit({ kind: EventKind.UpstreamProbed, callId, address, load });
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  /** Reports what ran as a last chunk without text, so that the core can bill it. */
+  private async stopWork(effect: EffectOf<EffectKind.UpstreamCancel>, index: number): Promise<void> {
+    const { attemptId, address, requestId } = effect;
+    const answer = await this.call(address, 'DELETE', streamPath(requestId));
+    const finish = answer === undefined ? undefined : parseCancelled(answer);
+    const { sink } = this.setup;
+    if (finish === undefined) {
+      const detail = 'The engine did not confirm the cancellation.';
+      sink.submit({ kind: EventKind.UpstreamFailed, attemptId, bytesSent: true, detail });
+      return;
+    }
+    sink.submit({ kind: EventKind.UpstreamChunk, attemptId, chunk: { index, text: '', finish } });
+    const ended = { status: 200, body: '', contentType: undefined };
+    sink.submit({ kind: EventKind.UpstreamEnded, attemptId, ...ended });
+  }
+
+  /** Body of a 200 answer within the probe's time; undefined otherwise. */
+  private async call(address: string, method: 'GET' | 'DELETE', path: string): Promise<string | undefined> {
+    const { probeTimeoutMs, maxAnswerBytes } = this.setup.options;
+    try {
+      const signal = AbortSignal.timeout(probeTimeoutMs);
+      const response = await this.agent.request({ origin: this.origin(address), method, path, signal });
+      const body = await readAnswer(response.body, maxAnswerBytes);
+      return response.statusCode === 200 ? body : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
+  private origin(address: string): string {
+    return `http://${this.setup.resolveAddress(address)}`;
+  }
+}
--- /dev/null
+++ b/packages/shell/src/upstreams/writeGuard.ts
@@ -0,0 +1,54 @@
+import type { Dispatcher } from 'undici';
+
+/** The process was paused between the step and the write of its request (design, 5.6). */
+export class PausedError extends Error {
+  override readonly name = 'PausedError';
+}
+
+const CONNECT_CODES = new Set(['UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_INVALID_ARG']);
+
+function failedBeforeConnection(cause: unknown): boolean {
+  const { code, syscall } = cause as { code?: unknown; syscall?: unknown };
+  return syscall === 'connect' || (typeof code === 'string' && CONNECT_CODES.has(code));
+}
+
+/**
+ * Watches one request up to its write. undici calls onRequestStart when the connection stands and directly before
+ * the first byte is written: there the pause check runs, and from there on bytes count as sent. A second start
+ * would be a silent repetition on a new connection and is refused.
+ */
+export class WriteGuard {
+  private started = false;
+
+  constructor(private readonly mayWrite: () => boolean) {}
+
+  /** False only if no byte of the request can have reached the upstream. */
+  bytesSent(cause: unknown, signal: AbortSignal): boolean {
+    return this.started || !(cause instanceof PausedError || signal.aborted || failedBeforeConnection(cause));
+  }
+
+  readonly intercept: Dispatcher.DispatcherComposeInterceptor = (dispatch) => (options, handler) =>
+    dispatch(options, {
+      onRequestStart: (controller, context) => {
+        handler.onRequestStart?.(controller, context);
+        this.checkStart(controller);
+      },
+      onResponseStart: (...args) => handler.onResponseStart?.(...args),
+      onResponseData: (...args) => handler.onResponseData?.(...args),
+      onResponseEnd: (...args) => handler.onResponseEnd?.(...args),
+      onResponseError: (...args) => handler.onResponseError?.(...args),
+    });
+
+  private checkStart(controller: Dispatcher.DispatchController): void {
+    if (controller.aborted) {
+      return;
+    }
+    if (this.started) {
+      controller.abort(new Error('The connection ended before the answer.'));
+    } else if (this.mayWrite()) {
+      this.started = true;
+    } else {
+      controller.abort(new PausedError('The process was paused before the request was written.'));
+    }
+  }
+}
