Draw, reserve, complete, release and settle money from table-backed shares

The money part of the core had signatures without behaviour. One synchronisation per organisation now applies top-ups, settles a page of usage records and draws or returns, all in one transaction that checks the version of every row it read. Credit comes only from the share row as read or as committed, so a lost answer shows in the next read.

Record messages carry the record key (incarnation, organisation, request identity), because two organisations may choose the same identity.

--- a/packages/core/src/createBlackboard.ts
+++ b/packages/core/src/createBlackboard.ts
@@ -1,6 +1,6 @@
 import type { Blackboard, RouterIdentity } from './blackboard.ts';
 import { Confirmation } from './blackboard.ts';
-import { Channel } from './scheduler/channel.ts';
+import { createMoneyState } from './money/createMoneyState.ts';
 import { RouterState } from './types/messages.ts';
 
 /** A blackboard without any knowledge: what a router has when its process starts. */
@@ -13,7 +13,7 @@
     stopRequested: false,
     configuration: undefined,
     membership: { peers: new Map(), vms: new Map(), listReadAtMs: undefined, absentSinceMs: new Map() },
-    money: { shares: new Map(), ownRecords: new Map(), copies: new Map(), drawRequests: new Channel() },
+    money: createMoneyState(incarnationId),
     requests: { running: new Map() },
     routing: { upstreams: new Map() },
     replies: {
--- /dev/null
+++ b/packages/core/src/money/__tests__/fleet.ts
@@ -0,0 +1,167 @@
+import { ok } from 'neverthrow';
+import type { CoreContext } from '../../context.ts';
+import { RouterCore } from '../../routerCore.ts';
+import { seededRandom } from '../../random.ts';
+import type { Task } from '../../scheduler/task.ts';
+import type { Effect } from '../../types/effects.ts';
+import { EffectKind, LogLevel } from '../../types/effects.ts';
+import type { CoreEvent } from '../../types/events.ts';
+import { EventKind } from '../../types/events.ts';
+import type { CoreOptions } from '../../types/options.ts';
+import type { ConfigurationDocument } from '../../types/configuration.ts';
+import { RouterState } from '../../types/messages.ts';
+import { TableOutcomeKind } from '../../types/table.ts';
+import { TableFake } from './tableFake.ts';
+
+export const ORGANISATION = 'karibu-school';
+const EMPTY = { organisations: [], budgets: [], services: [], rules: [], classes: [], engines: [] };
+
+export interface Node {
+  readonly name: string;
+  readonly core: RouterCore;
+  readonly context: CoreContext;
+  readonly inbox: CoreEvent[];
+  paused: boolean;
+  dead: boolean;
+  readonly logs: string[];
+}
+
+/** Several cores on one table and one clock. Replies and messages arrive with the next step. */
+export class Fleet {
+  readonly table = new TableFake();
+  readonly nodes: Node[] = [];
+  nowMs = 0;
+  storeDown = false;
+  /** Decides whether the answer of a commit that took effect is lost. */
+  losesReply: (node: Node) => boolean = () => false;
+
+  add(name: string, region = 'nairobi', options: Partial<CoreOptions> = {}): Node {
+    const identity = {
+      routerId: name,
+      vmId: `vm-${name}`,
+      region,
+      storeRegion: 'nairobi',
+      availabilityZone: `${region}-a`,
+      callerAddress: `${name}:8080`,
+      peerAddress: `${name}:8081`,
+    };
+    const core = new RouterCore({
+      identity,
+      random: seededRandom(this.nodes.length + 1),
+      clock: this.clock,
+      parseConfiguration: () => ok(EMPTY),
+      options,
+    });
+    // The tasks under test need the core's own context, which has no public access.
+    const { context } = core as unknown as { context: CoreContext };
+    const node: Node = { name, core, context, inbox: [], paused: false, dead: false, logs: [] };
+    this.nodes.push(node);
+    return node;
+  }
+
+  get clock(): { monotonicMs: number; wallMs: number } {
+    return { monotonicMs: this.nowMs, wallMs: 1_000_000 + this.nowMs };
+  }
+
+  configure(topUps: readonly { topUpId: string; amountMicros: number }[]): void {
+    for (const { core } of this.nodes) {
+      const document: ConfigurationDocument = {
+        ...EMPTY,
+        budgets: [{ organisationId: ORGANISATION, topUps }],
+      };
+      core.board.configuration = {
+        revision: 1,
+        stored: { revision: 1, sections: [] },
+        document,
+        organisationByKeySha256: new Map(),
+        ruleByModel: new Map(),
+        plainServiceById: new Map(),
+      };
+    }
+  }
+
+  /** Starts a task on a node and returns a place where its result appears. */
+  start<T>(node: Node, task: Task<T>): { result: T | undefined } {
+    const place: { result: T | undefined } = { result: undefined };
+    function* wrapper(): Task<void> {
+      place.result = yield* task;
+    }
+    node.context.spawn('test', wrapper());
+    return place;
+  }
+
+  run(durationMs: number, stepMs = 5): void {
+    const endMs = this.nowMs + durationMs;
+    while (this.nowMs < endMs) {
+      this.nowMs = Math.min(endMs, this.nowMs + stepMs);
+      this.step();
+    }
+  }
+
+  step(): void {
+    for (const node of this.nodes.filter((each) => !each.paused && !each.dead)) {
+      this.hearPeers(node);
+      const events = node.inbox.splice(0);
+      for (const effect of node.core.step(events, this.clock).effects) {
+        this.execute(node, effect);
+      }
+    }
+  }
+
+  private hearPeers(node: Node): void {
+    for (const peer of this.nodes.filter((each) => each !== node && !each.paused && !each.dead)) {
+      const { identity, incarnationId } = peer.core.board;
+      node.core.board.membership.peers.set(identity.peerAddress, {
+        sender: { ...identity, incarnationId },
+        state: RouterState.Live,
+        callerAddress: identity.callerAddress,
+        configurationRevision: 1,
+        openRequestCount: 0,
+        shareLevels: [],
+        heardAtMs: this.nowMs,
+      });
+    }
+  }
+
+  private execute(node: Node, effect: Effect): void {
+    if (effect.kind === EffectKind.PeerSend) {
+      const { identity, incarnationId } = node.core.board;
+      const target = this.nodes.find((each) => each.core.board.identity.peerAddress === effect.peerAddress);
+      if (target !== undefined && !target.dead) {
+        const sender = { ...identity, incarnationId };
+        target.inbox.push({ kind: EventKind.PeerReceived, sender, message: effect.message });
+      }
+    } else if (effect.kind === EffectKind.Log) {
+      node.logs.push(effect.message);
+      if (effect.level === LogLevel.Error) {
+        throw new Error(`${effect.message} ${JSON.stringify(effect.fields)}`);
+      }
+    } else {
+      this.executeTableCall(node, effect);
+    }
+  }
+
+  private executeTableCall(node: Node, effect: Effect): void {
+    const outcome = this.storeDown ? undefined : this.tableOutcome(effect);
+    if (outcome === undefined || !('callId' in effect)) {
+      return;
+    }
+    const lost = outcome.kind === TableOutcomeKind.Committed && this.losesReply(node);
+    if (!lost) {
+      node.inbox.push({ kind: EventKind.TableReply, callId: effect.callId, outcome });
+    }
+  }
+
+  private tableOutcome(effect: Effect): ReturnType<TableFake['read']> | undefined {
+    switch (effect.kind) {
+      case EffectKind.TableRead:
+        return this.table.read(effect.keys);
+      case EffectKind.TableScan:
+        return this.table.scan(effect.keyPrefix);
+      case EffectKind.TableCommit:
+        return this.table.commit(effect.transaction);
+      default:
+        return undefined;
+    }
+  }
+}
--- a/packages/core/src/money/checkForPause.ts
+++ b/packages/core/src/money/checkForPause.ts
@@ -12,6 +12,8 @@
     return;
   }
   context.board.confirmation = Confirmation.Unconfirmed;
+  context.board.money.pauseCount += 1;
+  context.board.money.confirmRequests.push(undefined);
   logWarn(context, 'The process was paused; dispatch stops until the store confirms this incarnation.', {
     pausedMs,
     incarnationId: context.board.incarnationId,
--- a/packages/core/src/money/handleRecordMessages.ts
+++ b/packages/core/src/money/handleRecordMessages.ts
@@ -1,54 +1,112 @@
 import type { CoreContext } from '../context.ts';
-import type { PeerSender, RecordState, UsageRecord } from '../types/messages.ts';
+import { EffectKind } from '../types/effects.ts';
+import type { PeerMessage, PeerSender, UsageRecord } from '../types/messages.ts';
+import { PeerMessageKind, RecordState } from '../types/messages.ts';
+import { recordKey } from './keys.ts';
+import { dropCopy, wakeRecordWaiters } from './records.ts';
+import { knownRecords } from './reservations.ts';
 
-export function handleRecordCopy(_context: CoreContext, _sender: PeerSender, _record: UsageRecord): void {
-  // Added with the share ledger.
+function reply(context: CoreContext, sender: PeerSender, message: PeerMessage): void {
+  context.emit({ kind: EffectKind.PeerSend, peerAddress: sender.peerAddress, message });
 }
 
+/** Keeps a copy and acknowledges it. A reservation that arrives after its usage does not replace it. */
+export function handleRecordCopy(context: CoreContext, sender: PeerSender, record: UsageRecord): void {
+  const { copies, resolvedAtMs } = context.board.money;
+  const key = recordKey(record);
+  const known = copies.get(key)?.record;
+  const outdated = known?.state === RecordState.Used && record.state === RecordState.Reserved;
+  if (!resolvedAtMs.has(key) && !outdated) {
+    copies.set(key, {
+      record,
+      receivedAtMs: context.clock.monotonicMs,
+      ownerVmId: sender.vmId,
+      ownerPeerAddress: sender.peerAddress,
+    });
+  }
+  reply(context, sender, { kind: PeerMessageKind.RecordCopyAck, requestId: key, state: record.state });
+}
+
+/** `requestId` carries the record key, as in `RecordResolved`. */
 export function handleRecordCopyAck(
-  _context: CoreContext,
-  _sender: PeerSender,
-  _requestId: string,
-  _state: RecordState,
+  context: CoreContext,
+  sender: PeerSender,
+  requestId: string,
+  state: RecordState,
 ): void {
-  // Added with the share ledger.
+  const { ownRecords, acknowledgedBy, ownIncarnationIds } = context.board.money;
+  const record = ownRecords.get(requestId);
+  if (record?.state === state) {
+    acknowledgedBy.get(requestId)?.add(sender.peerAddress);
+    wakeRecordWaiters(context, requestId);
+  }
+  const [incarnationId] = requestId.split('/');
+  if (record === undefined && ownIncarnationIds.has(incarnationId ?? '')) {
+    // The holder missed the announcement that the record is resolved.
+    reply(context, sender, { kind: PeerMessageKind.RecordResolved, requestIds: [requestId] });
+  }
 }
 
-export function handleRecordResolved(_context: CoreContext, _requestIds: readonly string[]): void {
-  // Added with the share ledger.
+/** Drops copies; `requestIds` carries record keys, because two organisations may use one request identity. */
+export function handleRecordResolved(context: CoreContext, requestIds: readonly string[]): void {
+  for (const key of requestIds) {
+    dropCopy(context, key);
+  }
 }
 
 export function handleRecordQuery(
-  _context: CoreContext,
-  _sender: PeerSender,
-  _queryId: string,
-  _requestId: string,
+  context: CoreContext,
+  sender: PeerSender,
+  queryId: string,
+  requestId: string,
 ): void {
-  // Added with the share ledger.
+  const running = [...context.board.requests.running.values()].some(
+    (request) => request.requestId === requestId,
+  );
+  const records = knownRecords(context, requestId);
+  reply(context, sender, { kind: PeerMessageKind.RecordQueryReply, queryId, records, running });
 }
 
 export function handleRecordQueryReply(
-  _context: CoreContext,
-  _queryId: string,
-  _records: readonly UsageRecord[],
-  _running: boolean,
+  context: CoreContext,
+  queryId: string,
+  records: readonly UsageRecord[],
+  running: boolean,
 ): void {
-  // Added with the share ledger.
+  context.board.money.queries.get(queryId)?.push({ records, running });
 }
 
+/**
+ * Answers a reclaim with all records of the incarnation. A router that heard the incarnation within the grace
+ * time stays silent, because it is no witness of its death.
+ */
 export function handleOpenRecordsRequest(
-  _context: CoreContext,
-  _sender: PeerSender,
-  _queryId: string,
-  _incarnationId: string,
+  context: CoreContext,
+  sender: PeerSender,
+  queryId: string,
+  incarnationId: string,
 ): void {
-  // Added with the share ledger.
+  const { board, clock, options } = context;
+  const heard = [...board.membership.peers.values()].some(
+    (peer) =>
+      peer.sender.incarnationId === incarnationId &&
+      clock.monotonicMs - peer.heardAtMs < options.reclaimGraceMs,
+  );
+  if (heard || incarnationId === board.incarnationId) {
+    return;
+  }
+  const { copies, ownRecords } = board.money;
+  const copied = [...copies.values()].map((copy) => copy.record);
+  const records = [...ownRecords.values(), ...copied].filter(
+    (record) => record.incarnationId === incarnationId,
+  );
+  reply(context, sender, { kind: PeerMessageKind.OpenRecordsReply, queryId, records });
 }
 
 export function handleOpenRecordsReply(
-  _context: CoreContext,
-  _queryId: string,
-  _records: readonly UsageRecord[],
+  context: CoreContext,
+  queryId: string,
+  records: readonly UsageRecord[],
 ): void {
-  // Added with the share ledger.
+  context.board.money.queries.get(queryId)?.push({ records, running: false });
 }
--- /dev/null
+++ b/packages/core/src/money/records.ts
@@ -0,0 +1,94 @@
+import type { CoreContext } from '../context.ts';
+import { Channel } from '../scheduler/channel.ts';
+import type { UsageRecord } from '../types/messages.ts';
+import { PeerMessageKind } from '../types/messages.ts';
+import { EffectKind } from '../types/effects.ts';
+import { liveRegionPeers } from '../membership/livePeers.ts';
+import { recordKey } from './keys.ts';
+import { shareOf, wakeWaiters } from './shares.ts';
+
+/** Stores a new state of an own record; older acknowledgements no longer count for it. */
+export function putOwnRecord(context: CoreContext, record: UsageRecord): void {
+  const { money } = context.board;
+  const key = recordKey(record);
+  money.ownRecords.set(key, record);
+  money.acknowledgedBy.set(key, new Set());
+}
+
+/** Changes the committed part of the share that a record draws on; records of earlier incarnations have none. */
+export function changeCommitted(
+  context: CoreContext,
+  record: Pick<UsageRecord, 'incarnationId' | 'organisationId'>,
+  differenceMicros: number,
+): void {
+  if (record.incarnationId !== context.board.incarnationId) {
+    return;
+  }
+  shareOf(context, record.organisationId).committedMicros += differenceMicros;
+  if (differenceMicros < 0) {
+    wakeWaiters(context, record.organisationId);
+  }
+}
+
+/** Forgets settled or released records, own ones and copies, and lets peers drop their copies. */
+export function resolveRecords(context: CoreContext, keys: readonly string[]): void {
+  for (const key of keys) {
+    dropOwnRecord(context, key);
+    dropCopy(context, key);
+    wakeRecordWaiters(context, key);
+  }
+  if (keys.length > 0) {
+    announceResolved(context, keys);
+  }
+}
+
+export function dropCopy(context: CoreContext, key: string): void {
+  const { money } = context.board;
+  money.copies.delete(key);
+  money.orphanKeys.delete(key);
+  money.resolvedAtMs.set(key, context.clock.monotonicMs);
+}
+
+function dropOwnRecord(context: CoreContext, key: string): void {
+  const { money } = context.board;
+  const record = money.ownRecords.get(key);
+  money.acknowledgedBy.delete(key);
+  if (record !== undefined) {
+    money.ownRecords.delete(key);
+    changeCommitted(context, record, -record.amountMicros);
+  }
+}
+
+function announceResolved(context: CoreContext, keys: readonly string[]): void {
+  for (const peer of liveRegionPeers(context)) {
+    context.emit({
+      kind: EffectKind.PeerSend,
+      peerAddress: peer.sender.peerAddress,
+      message: { kind: PeerMessageKind.RecordResolved, requestIds: keys },
+    });
+  }
+}
+
+export function wakeRecordWaiters(context: CoreContext, key: string): void {
+  for (const channel of context.board.money.recordWaiters.get(key) ?? []) {
+    channel.push(undefined);
+  }
+}
+
+/** Registers a channel that receives an item when the record is acknowledged or resolved. */
+export function addRecordWaiter(context: CoreContext, key: string): Channel<undefined> {
+  const { recordWaiters } = context.board.money;
+  const waiters = recordWaiters.get(key) ?? new Set();
+  const channel = new Channel<undefined>();
+  recordWaiters.set(key, waiters.add(channel));
+  return channel;
+}
+
+export function removeRecordWaiter(context: CoreContext, key: string, channel: Channel<undefined>): void {
+  const { recordWaiters } = context.board.money;
+  const waiters = recordWaiters.get(key);
+  waiters?.delete(channel);
+  if (waiters?.size === 0) {
+    recordWaiters.delete(key);
+  }
+}
--- a/packages/core/src/money/reservations.ts
+++ b/packages/core/src/money/reservations.ts
@@ -1,18 +1,40 @@
 import type { CoreContext } from '../context.ts';
+import { withChannel } from '../context.ts';
+import { liveRegionPeers } from '../membership/livePeers.ts';
+import type { PeerInfo } from '../membership/types.ts';
+import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
+import { receive } from '../scheduler/task.ts';
+import { EffectKind } from '../types/effects.ts';
 import type { UsageRecord } from '../types/messages.ts';
-import type { Reservation } from './types.ts';
+import { PeerMessageKind, RecordState } from '../types/messages.ts';
+import { logWarn } from '../log.ts';
+import { sendCopies, waitUntilSafe } from './copies.ts';
+import { recordKey } from './keys.ts';
+import { changeCommitted, putOwnRecord, resolveRecords } from './records.ts';
+import { settleableRecords } from './settleableRecords.ts';
+import { shareOf } from './shares.ts';
+import type { RecordsAnswer, Reservation } from './types.ts';
 
 /**
  * Copies the reservation to peers of the region and waits for the first acknowledgement, so that the money of a
  * request that may run is known after this router's death.
  */
 export function* protectReservation(
-  _context: CoreContext,
-  _reservation: Reservation,
-  _upstreamAddress: string | undefined,
+  context: CoreContext,
+  reservation: Reservation,
+  upstreamAddress: string | undefined,
 ): Task<void> {
-  // Added with the share ledger.
+  const existing = context.board.money.ownRecords.get(recordKey(reservation));
+  if (existing?.state !== RecordState.Reserved) {
+    return;
+  }
+  const record: UsageRecord = { ...existing, upstreamAddress };
+  putOwnRecord(context, record);
+  if (sendCopies(context, record)) {
+    const deadlineMs = context.clock.monotonicMs + context.options.reservationCopyWaitMs;
+    yield* waitUntilSafe(context, record, deadlineMs);
+  }
 }
 
 /**
@@ -20,16 +42,62 @@
  * caller of this function sends the last byte of the answer only after it returned.
  */
 export function* completeReservation(
-  _context: CoreContext,
-  _reservation: Reservation,
-  _usedMicros: number,
+  context: CoreContext,
+  reservation: Reservation,
+  usedMicros: number,
 ): Task<void> {
-  // Added with the share ledger.
+  const existing = context.board.money.ownRecords.get(recordKey(reservation));
+  if (existing?.state !== RecordState.Reserved) {
+    return;
+  }
+  const amountMicros = boundUsage(context, reservation, usedMicros);
+  giveBackUnused(context, existing, existing.amountMicros - amountMicros);
+  if (amountMicros === 0) {
+    resolveRecords(context, [recordKey(existing)]);
+    return;
+  }
+  const record: UsageRecord = { ...existing, state: RecordState.Used, amountMicros };
+  putOwnRecord(context, record);
+  const pageIsFull =
+    settleableRecords(context, record.organisationId).length >= context.options.settlePageSize;
+  if (!sendCopies(context, record) || pageIsFull) {
+    context.board.money.drawRequests.push(record.organisationId);
+  }
+  yield* waitUntilSafe(context, record, context.clock.monotonicMs + context.options.usageCopyWaitMs);
+}
+
+/** Usage above the reservation is not charged: the budget was only asked for the reserved amount. */
+function boundUsage(context: CoreContext, reservation: Reservation, usedMicros: number): number {
+  if (usedMicros > reservation.amountMicros) {
+    const { requestId, organisationId, amountMicros } = reservation;
+    logWarn(context, 'The usage exceeds its reservation; only the reserved amount is charged.', {
+      requestId,
+      organisationId,
+      amountMicros,
+      usedMicros,
+    });
+  }
+  return Math.max(0, Math.min(usedMicros, reservation.amountMicros));
+}
+
+function giveBackUnused(context: CoreContext, record: UsageRecord, unusedMicros: number): void {
+  if (record.incarnationId === context.board.incarnationId) {
+    shareOf(context, record.organisationId).recentMicros -= unusedMicros;
+  }
+  changeCommitted(context, record, -unusedMicros);
 }
 
 /** Gives a reservation back whose request certainly did not run. */
-export function releaseReservation(_context: CoreContext, _reservation: Reservation): void {
-  // Added with the share ledger.
+export function releaseReservation(context: CoreContext, reservation: Reservation): void {
+  const key = recordKey(reservation);
+  const record = context.board.money.ownRecords.get(key);
+  if (record?.state !== RecordState.Reserved) {
+    return;
+  }
+  if (record.incarnationId === context.board.incarnationId) {
+    shareOf(context, record.organisationId).recentMicros -= record.amountMicros;
+  }
+  resolveRecords(context, [key]);
 }
 
 export interface RecordFindings {
@@ -39,6 +107,57 @@
 }
 
 /** Asks the peers of the region what they know of a request identity. */
-export function* findRecords(_context: CoreContext, _requestId: string): Task<RecordFindings> {
-  return { records: [], runningAddress: undefined };
+export function* findRecords(context: CoreContext, requestId: string): Task<RecordFindings> {
+  const deadlineMs = context.clock.monotonicMs + context.options.reservationCopyWaitMs;
+  const queries = liveRegionPeers(context).map((peer) => startQuery(context, peer, requestId));
+  const records = new Map<string, UsageRecord>();
+  let runningAddress: string | undefined;
+  for (const { peer, queryId, channel } of queries) {
+    const answer = yield* withChannel(
+      context.board.money.queries,
+      queryId,
+      channel,
+      receive(channel, deadlineMs),
+    );
+    for (const record of answer?.records ?? []) {
+      keepLatest(records, record);
+    }
+    runningAddress ??= answer?.running === true ? peer.callerAddress : undefined;
+  }
+  for (const record of knownRecords(context, requestId)) {
+    keepLatest(records, record);
+  }
+  return { records: [...records.values()], runningAddress };
+}
+
+/** One query identifier per peer, because the answer does not name its sender. */
+function startQuery(
+  context: CoreContext,
+  peer: PeerInfo,
+  requestId: string,
+): { peer: PeerInfo; queryId: string; channel: Channel<RecordsAnswer> } {
+  const queryId = context.newId();
+  const channel = new Channel<RecordsAnswer>();
+  context.board.money.queries.set(queryId, channel);
+  context.emit({
+    kind: EffectKind.PeerSend,
+    peerAddress: peer.sender.peerAddress,
+    message: { kind: PeerMessageKind.RecordQuery, queryId, requestId },
+  });
+  return { peer, queryId, channel };
+}
+
+/** Own records and copies of a request identity. */
+export function knownRecords(context: CoreContext, requestId: string): UsageRecord[] {
+  const { ownRecords, copies } = context.board.money;
+  const copied = [...copies.values()].map((copy) => copy.record);
+  return [...ownRecords.values(), ...copied].filter((record) => record.requestId === requestId);
+}
+
+/** Keeps the usage rather than the reservation when both arrive. */
+export function keepLatest(records: Map<string, UsageRecord>, record: UsageRecord): void {
+  const key = recordKey(record);
+  if (records.get(key)?.state !== RecordState.Used) {
+    records.set(key, record);
+  }
 }
--- a/packages/core/src/money/reserve.ts
+++ b/packages/core/src/money/reserve.ts
@@ -1,9 +1,17 @@
 import type { Result } from 'neverthrow';
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { Confirmation } from '../blackboard.ts';
 import type { CoreContext } from '../context.ts';
+import { liveRegionPeers } from '../membership/livePeers.ts';
+import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
+import { receive } from '../scheduler/task.ts';
+import { RecordState, RouterState } from '../types/messages.ts';
 import { RefusalReason } from '../types/verdict.ts';
-import type { Reservation } from './types.ts';
+import { recordKey } from './keys.ts';
+import { changeCommitted, putOwnRecord } from './records.ts';
+import { availableMicros, ledgerOf, shareOf } from './shares.ts';
+import type { Reservation, ShareWaiter } from './types.ts';
 
 export interface ReserveRequest {
   readonly requestId: string;
@@ -22,8 +30,89 @@
 
 /** Sets the worst case of a request aside in this router's share, waiting a bounded time if the share is short. */
 export function* reserve(
-  _context: CoreContext,
-  _request: ReserveRequest,
+  context: CoreContext,
+  request: ReserveRequest,
 ): Task<Result<Reservation, ReserveFailure>> {
-  return err({ reason: RefusalReason.StoreUnavailable, redirectAddress: undefined });
+  const immediate = tryReserve(context, request);
+  if (immediate !== undefined) {
+    return ok(immediate);
+  }
+  const { money } = context.board;
+  const waiter: ShareWaiter = { amountMicros: request.amountMicros, channel: new Channel() };
+  const waiters = money.waiters.get(request.organisationId) ?? new Set();
+  money.waiters.set(request.organisationId, waiters.add(waiter));
+  try {
+    return yield* waitForShare(context, request, waiter);
+  } finally {
+    waiters.delete(waiter);
+  }
+}
+
+function* waitForShare(
+  context: CoreContext,
+  request: ReserveRequest,
+  waiter: ShareWaiter,
+): Task<Result<Reservation, ReserveFailure>> {
+  const deadlineMs = Math.min(request.deadlineMs, context.clock.monotonicMs + context.options.reserveWaitMs);
+  while (context.board.confirmation === Confirmation.Confirmed && context.clock.monotonicMs < deadlineMs) {
+    context.board.money.drawRequests.push(request.organisationId);
+    yield* receive(waiter.channel, deadlineMs);
+    const reservation = tryReserve(context, request);
+    if (reservation !== undefined) {
+      return ok(reservation);
+    }
+  }
+  return err({
+    reason: failureReason(context, request.organisationId),
+    redirectAddress: redirectAddress(context, request),
+  });
+}
+
+function failureReason(context: CoreContext, organisationId: string): ReserveFailure['reason'] {
+  if (context.board.confirmation === Confirmation.Unconfirmed) {
+    return RefusalReason.Paused;
+  }
+  return ledgerOf(context, organisationId).reachable
+    ? RefusalReason.BudgetExhausted
+    : RefusalReason.StoreUnavailable;
+}
+
+/** Takes the amount if the share covers it and no other reservation of the identity is open. */
+function tryReserve(context: CoreContext, request: ReserveRequest): Reservation | undefined {
+  const { board, clock } = context;
+  const { requestId, organisationId, amountMicros } = request;
+  const reservation = { requestId, organisationId, amountMicros, incarnationId: board.incarnationId };
+  if (board.confirmation === Confirmation.Unconfirmed) {
+    return undefined;
+  }
+  const existing = board.money.ownRecords.get(recordKey(reservation));
+  if (existing !== undefined) {
+    // The usage of this identity is charged already, so another run of it costs nothing.
+    return existing.state === RecordState.Used ? reservation : undefined;
+  }
+  const share = shareOf(context, organisationId);
+  share.worstCaseMicros = Math.max(share.worstCaseMicros, amountMicros);
+  if (availableMicros(share) < amountMicros) {
+    return undefined;
+  }
+  share.recentMicros += amountMicros;
+  share.lastUsedAtMs = clock.monotonicMs;
+  putOwnRecord(context, { ...reservation, state: RecordState.Reserved, upstreamAddress: undefined });
+  changeCommitted(context, reservation, amountMicros);
+  return reservation;
+}
+
+/** Caller address of the live region peer with the highest share level that covers the amount. */
+function redirectAddress(context: CoreContext, request: ReserveRequest): string | undefined {
+  const levels = liveRegionPeers(context)
+    .filter((peer) => peer.state === RouterState.Live)
+    .map((peer) => ({
+      callerAddress: peer.callerAddress,
+      micros:
+        peer.shareLevels.find((level) => level.organisationId === request.organisationId)?.availableMicros ??
+        0,
+    }))
+    .filter((level) => level.micros >= request.amountMicros)
+    .sort((a, b) => b.micros - a.micros);
+  return levels[0]?.callerAddress;
 }
--- /dev/null
+++ b/packages/core/src/money/settleableRecords.ts
@@ -0,0 +1,12 @@
+import type { CoreContext } from '../context.ts';
+import type { UsageRecord } from '../types/messages.ts';
+import { RecordState } from '../types/messages.ts';
+
+/** The used records that this router settles: its own of any incarnation, and copies of owners that are gone. */
+export function settleableRecords(context: CoreContext, organisationId: string): UsageRecord[] {
+  const { ownRecords, copies, orphanKeys } = context.board.money;
+  const orphans = [...orphanKeys].flatMap((key) => copies.get(key)?.record ?? []);
+  return [...ownRecords.values(), ...orphans].filter(
+    (record) => record.organisationId === organisationId && record.state === RecordState.Used,
+  );
+}
