Serve model requests and plain service calls in the core

Cause: the core refused every caller request because the request part had signatures only.

Change: requests are authenticated, priced, reserved, sent to a chosen engine or service address, relayed with index checks, billed before the last byte and answered or refused with a verdict that verdict.ts computes from the attempts. Non-idempotent calls run under a claim row that is never deleted, so that its version cannot start again. The request state holds the money functions, so that tests drive requests with a fake ledger.

--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -43,6 +43,8 @@
   confirmation: Confirmation;
   routerState: RouterState;
   stopRequested: boolean;
+  /** False once a draining router has kept accepting for the time that callers keep entry answers. */
+  acceptsRequests: boolean;
   configuration: ActiveConfiguration | undefined;
   readonly membership: MembershipView;
   readonly money: MoneyState;
--- a/packages/core/src/createBlackboard.ts
+++ b/packages/core/src/createBlackboard.ts
@@ -1,5 +1,7 @@
 import type { Blackboard, RouterIdentity } from './blackboard.ts';
 import { Confirmation } from './blackboard.ts';
+import { createRequestState } from './requests/createRequestState.ts';
+import { createRoutingState } from './routing/createRoutingState.ts';
 import { Channel } from './scheduler/channel.ts';
 import { RouterState } from './types/messages.ts';
 
@@ -11,11 +13,12 @@
     confirmation: Confirmation.Confirmed,
     routerState: RouterState.Starting,
     stopRequested: false,
+    acceptsRequests: true,
     configuration: undefined,
     membership: { peers: new Map(), vms: new Map(), listReadAtMs: undefined, absentSinceMs: new Map() },
     money: { shares: new Map(), ownRecords: new Map(), copies: new Map(), drawRequests: new Channel() },
-    requests: { running: new Map() },
-    routing: { upstreams: new Map() },
+    requests: createRequestState(),
+    routing: createRoutingState(),
     replies: {
       tableCalls: new Map(),
       membershipCalls: new Map(),
--- a/packages/core/src/requests/handleCallerRequest.ts
+++ b/packages/core/src/requests/handleCallerRequest.ts
@@ -1,27 +1,66 @@
 import type { EventOf } from '../blackboard.ts';
 import type { CoreContext } from '../context.ts';
+import { entryAddresses } from '../entry/entryAddresses.ts';
 import type { Task } from '../scheduler/task.ts';
 import { EffectKind } from '../types/effects.ts';
 import type { EventKind } from '../types/events.ts';
-import { RefusalReason, Verdict } from '../types/verdict.ts';
+import { CallerRequestKind } from '../types/requests.ts';
+import { RefusalReason } from '../types/verdict.ts';
+import { admitRequest } from './admission.ts';
+import { serveChat } from './chatRequest.ts';
+import { refuseExchange } from './refusal.ts';
+import { serveServiceCall } from './serviceCall.ts';
 
 /** Serves one request of a caller from its arrival to its answer or refusal. */
 export function* handleCallerRequest(
   context: CoreContext,
   event: EventOf<EventKind.CallerArrived>,
 ): Task<void> {
-  context.emit({
-    kind: EffectKind.CallerProblem,
-    exchangeId: event.exchangeId,
-    started: false,
-    problem: {
-      status: 503,
-      title: 'Not ready',
-      detail: 'This router serves no requests yet. Try another address.',
-      reason: RefusalReason.NotReady,
-      verdict: Verdict.DidNotRun,
-      requestId: undefined,
-      retryAfterSeconds: 1,
-    },
-  });
+  const { exchangeId, request, metadata } = event;
+  if (request.kind === CallerRequestKind.Health) {
+    answerHealth(context, exchangeId);
+    return;
+  }
+  const admission = admitRequest(context, exchangeId, metadata);
+  const requestId = metadata.idempotencyKey;
+  if ('refusal' in admission) {
+    refuseExchange(context, { exchangeId, reason: admission.refusal, requestId });
+    return;
+  }
+  const { organisationId } = admission.admitted.organisation;
+  if (request.kind === CallerRequestKind.Entry) {
+    answerEntry(context, exchangeId, organisationId);
+    return;
+  }
+  if (!context.board.acceptsRequests) {
+    refuseExchange(context, { exchangeId, organisationId, reason: RefusalReason.Draining, requestId });
+    return;
+  }
+  switch (request.kind) {
+    case CallerRequestKind.ChatCompletion:
+      yield* serveChat(context, admission.admitted, request);
+      return;
+    case CallerRequestKind.ServiceCall:
+      yield* serveServiceCall(context, admission.admitted, request);
+      return;
+  }
+}
+
+function answerJson(context: CoreContext, exchangeId: string, status: number, value: unknown): void {
+  const headers = { 'Content-Type': 'application/json' };
+  context.emit({ kind: EffectKind.CallerStart, exchangeId, status, headers });
+  context.emit({ kind: EffectKind.CallerEnd, exchangeId, data: JSON.stringify(value) });
+}
+
+/** Ready means that requests would be accepted now, so that a checker takes a draining router out of use. */
+function answerHealth(context: CoreContext, exchangeId: string): void {
+  const { configuration, acceptsRequests, routerState } = context.board;
+  const isReady = configuration !== undefined && acceptsRequests;
+  const body = { ready: isReady, state: routerState, configurationRevision: configuration?.revision ?? 0 };
+  answerJson(context, exchangeId, isReady ? 200 : 503, body);
+}
+
+function answerEntry(context: CoreContext, exchangeId: string, organisationId: string): void {
+  const addresses = entryAddresses(context, organisationId);
+  answerJson(context, exchangeId, 200, { addresses, keepMs: context.options.entryKeepMs });
 }
--- /dev/null
+++ b/packages/core/src/requests/serviceAttempt.ts
@@ -0,0 +1,113 @@
+import type { CoreContext } from '../context.ts';
+import { withChannel } from '../context.ts';
+import type { Reservation } from '../money/types.ts';
+import {
+  ejectUpstream,
+  recordUpstreamFailure,
+  recordUpstreamSuccess,
+  upstreamInfo,
+} from '../routing/upstreams.ts';
+import { Channel } from '../scheduler/channel.ts';
+import type { Task } from '../scheduler/task.ts';
+import { receive } from '../scheduler/task.ts';
+import { EffectKind } from '../types/effects.ts';
+import type { AttemptEvent } from '../types/events.ts';
+import { EventKind } from '../types/events.ts';
+import type { ServiceCallRequest } from '../types/requests.ts';
+import { UpstreamRequestKind } from '../types/requests.ts';
+import type { CallOutcome } from './claim.ts';
+import { mayDispatch } from './dispatchGate.ts';
+import type { RunningRequest } from './types.ts';
+import type { AttemptRecord } from './verdict.ts';
+import { AttemptState } from './verdict.ts';
+
+export type ServiceAttemptEnd =
+  | { readonly kind: 'answered'; readonly outcome: CallOutcome }
+  | { readonly kind: 'notSent' }
+  | { readonly kind: 'lost' }
+  | { readonly kind: 'deadlineExceeded' }
+  | { readonly kind: 'paused' };
+
+const FIRST_SERVER_ERROR = 500;
+
+/** Sends a call to one address of a plain service and waits for its answer. */
+export function* runServiceAttempt(
+  context: CoreContext,
+  run: RunningRequest,
+  call: ServiceCallRequest,
+  address: string,
+  reservation: Reservation,
+): Task<ServiceAttemptEnd> {
+  if (!mayDispatch(context, reservation)) {
+    return { kind: 'paused' };
+  }
+  if (context.clock.monotonicMs >= run.deadlineMs) {
+    return { kind: 'deadlineExceeded' };
+  }
+  const { method, path, body, contentType } = call;
+  const record: AttemptRecord = { attemptId: context.newId(), foreign: false, state: AttemptState.Sent };
+  run.attempts.push(record);
+  const kind = UpstreamRequestKind.ServiceCall;
+  context.emit({
+    kind: EffectKind.UpstreamOpen,
+    attemptId: record.attemptId,
+    address,
+    request: { kind, requestId: run.scopedId, method, path, body, contentType },
+    exchangeId: run.callers.keys().next().value,
+    deadlineMs: run.deadlineMs,
+  });
+  const info = upstreamInfo(context, address);
+  info.ownInFlightCount += 1;
+  const channel = new Channel<AttemptEvent>();
+  const { attempts } = context.board.replies;
+  try {
+    return yield* withChannel(
+      attempts,
+      record.attemptId,
+      channel,
+      awaitAnswer(context, run, address, record, channel),
+    );
+  } finally {
+    info.ownInFlightCount -= 1;
+  }
+}
+
+function* awaitAnswer(
+  context: CoreContext,
+  run: RunningRequest,
+  address: string,
+  record: AttemptRecord,
+  channel: Channel<AttemptEvent>,
+): Task<ServiceAttemptEnd> {
+  const info = upstreamInfo(context, address);
+  for (;;) {
+    const event = yield* receive(channel, run.deadlineMs);
+    if (event === undefined) {
+      recordUpstreamFailure(context, info);
+      return { kind: 'deadlineExceeded' };
+    }
+    switch (event.kind) {
+      case EventKind.UpstreamStarted:
+      case EventKind.UpstreamChunk:
+        break;
+      case EventKind.UpstreamEnded: {
+        const { status, body, contentType } = event;
+        record.state = AttemptState.Ran;
+        if (status >= FIRST_SERVER_ERROR) {
+          recordUpstreamFailure(context, info);
+        } else {
+          recordUpstreamSuccess(info);
+        }
+        return { kind: 'answered', outcome: { status, body, contentType: contentType ?? null } };
+      }
+      case EventKind.UpstreamFailed:
+        if (event.bytesSent) {
+          recordUpstreamFailure(context, info);
+          return { kind: 'lost' };
+        }
+        record.state = AttemptState.NotSent;
+        ejectUpstream(context, info);
+        return { kind: 'notSent' };
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/chooseEngine.ts
@@ -0,0 +1,100 @@
+import type { EngineSection } from '../types/configuration.ts';
+import type { UpstreamInfo } from './types.ts';
+
+export interface EngineCandidate {
+  readonly engine: EngineSection;
+  readonly info: UpstreamInfo;
+}
+
+export interface EngineChoiceRequest {
+  readonly candidates: readonly EngineCandidate[];
+  readonly region: string;
+  readonly availabilityZone: string;
+  readonly prefixHashes: readonly string[];
+  /** Addresses that already failed this request. */
+  readonly excludedAddresses: ReadonlySet<string>;
+  readonly nowMs: number;
+  readonly farEngineCostMs: number;
+  /** A number in [0, 1). */
+  readonly random: number;
+}
+
+export enum EngineChoiceKind {
+  Chosen = 'chosen',
+  /** Usable engines exist, but each has as many requests of this router as it takes. */
+  AllBusy = 'allBusy',
+  NoneUsable = 'noneUsable',
+}
+
+export type EngineChoice =
+  | { readonly kind: EngineChoiceKind.Chosen; readonly candidate: EngineCandidate }
+  | { readonly kind: EngineChoiceKind.AllBusy }
+  | { readonly kind: EngineChoiceKind.NoneUsable };
+
+/** A load report counts half after this time, because requests have come and gone since. */
+const LOAD_HALF_LIFE_MS = 2_000;
+
+/** Expected wait per request that is ahead: a rough time share of one request in a continuous batch. */
+const WAIT_MS_PER_REQUEST = 20;
+
+/** Expected prefill time of one prefix block that is not cached. */
+const PREFILL_MS_PER_BLOCK = 5;
+
+/** Keeps work in the own zone unless another zone of the region is better by about two requests. */
+const OTHER_ZONE_COST_MS = 40;
+
+function reportedLoad(info: UpstreamInfo, nowMs: number): number {
+  if (info.load === undefined) {
+    return 0;
+  }
+  const ageMs = info.load.ageMs + Math.max(0, nowMs - info.loadReadAtMs);
+  const weight = 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
+  return (info.load.runningCount + info.load.queuedCount) * weight;
+}
+
+function distanceCostMs(request: EngineChoiceRequest, engine: EngineSection): number {
+  if (engine.region !== request.region) {
+    return request.farEngineCostMs + OTHER_ZONE_COST_MS;
+  }
+  return engine.availabilityZone === request.availabilityZone ? 0 : OTHER_ZONE_COST_MS;
+}
+
+/** Expected milliseconds until the engine starts to answer; lower is better. */
+export function engineScoreMs(request: EngineChoiceRequest, { engine, info }: EngineCandidate): number {
+  const ahead = info.ownInFlightCount + reportedLoad(info, request.nowMs);
+  const uncachedBlocks = request.prefixHashes.length - info.prefixes.knownBlockCount(request.prefixHashes);
+  return (
+    ahead * WAIT_MS_PER_REQUEST + uncachedBlocks * PREFILL_MS_PER_BLOCK + distanceCostMs(request, engine)
+  );
+}
+
+function isUsable(request: EngineChoiceRequest, { engine, info }: EngineCandidate): boolean {
+  return (
+    !info.leaving && info.ejectedUntilMs <= request.nowMs && !request.excludedAddresses.has(engine.address)
+  );
+}
+
+/**
+ * Chooses an engine: one of the best two at random, so that routers with the same stale report do not all send
+ * their work to the same engine. The two are taken from one distance, because a random pick of a far engine would
+ * use the narrow link although a near engine is better.
+ */
+export function chooseEngine(request: EngineChoiceRequest): EngineChoice {
+  const usable = request.candidates.filter((candidate) => isUsable(request, candidate));
+  if (usable.length === 0) {
+    return { kind: EngineChoiceKind.NoneUsable };
+  }
+  const [best, ...others] = usable
+    .filter(({ engine, info }) => info.ownInFlightCount < engine.maxConcurrent)
+    .map((candidate) => ({ candidate, scoreMs: engineScoreMs(request, candidate) }))
+    .sort(
+      (a, b) => a.scoreMs - b.scoreMs || a.candidate.engine.address.localeCompare(b.candidate.engine.address),
+    );
+  if (best === undefined) {
+    return { kind: EngineChoiceKind.AllBusy };
+  }
+  const bestCostMs = distanceCostMs(request, best.candidate.engine);
+  const second = others.find(({ candidate }) => distanceCostMs(request, candidate.engine) <= bestCostMs);
+  const chosen = second !== undefined && request.random >= 0.5 ? second : best;
+  return { kind: EngineChoiceKind.Chosen, candidate: chosen.candidate };
+}
--- /dev/null
+++ b/packages/core/src/routing/createRoutingState.ts
@@ -0,0 +1,5 @@
+import type { RoutingState } from './types.ts';
+
+export function createRoutingState(): RoutingState {
+  return { upstreams: new Map() };
+}
--- a/packages/core/src/routing/probeController.ts
+++ b/packages/core/src/routing/probeController.ts
@@ -1,7 +1,55 @@
+import type { EventOf } from '../blackboard.ts';
 import type { CoreContext } from '../context.ts';
+import { withChannel } from '../context.ts';
+import { wakeQueue } from '../requests/classQueue.ts';
+import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
+import { receive, sleepUntil } from '../scheduler/task.ts';
+import { EffectKind } from '../types/effects.ts';
+import type { EventKind } from '../types/events.ts';
+import type { EngineLoad } from '../types/requests.ts';
+import { isListedLeaving, markLeaving, markListedLeaving, upstreamInfo } from './upstreams.ts';
 
 /** Reads the load of every configured engine at an interval. */
-export function* probeController(_context: CoreContext): Task<void> {
-  // Added with the choice of engine.
+export function* probeController(context: CoreContext): Task<void> {
+  for (;;) {
+    markListedLeaving(context);
+    for (const engine of context.board.configuration?.document.engines ?? []) {
+      context.spawn('probeEngine', probeEngine(context, engine.address));
+    }
+    yield* sleepUntil(context.clock.monotonicMs + context.options.probeIntervalMs);
+  }
+}
+
+function* probeEngine(context: CoreContext, address: string): Task<void> {
+  const callId = context.newId();
+  const channel = new Channel<EventOf<EventKind.UpstreamProbed>>();
+  context.emit({ kind: EffectKind.UpstreamProbe, callId, address });
+  const deadlineMs = context.clock.monotonicMs + context.options.probeIntervalMs;
+  const reply = yield* withChannel(
+    context.board.replies.probes,
+    callId,
+    channel,
+    receive(channel, deadlineMs),
+  );
+  if (reply?.load !== undefined) {
+    applyLoad(context, address, reply.load);
+  }
+}
+
+/**
+ * The newest sign decides: a report that is younger than the last sign of leaving takes the sign back, unless the
+ * membership list still says Leaving. Reports lag, so an older one proves nothing.
+ */
+function applyLoad(context: CoreContext, address: string, load: EngineLoad): void {
+  const info = upstreamInfo(context, address);
+  info.load = load;
+  info.loadReadAtMs = context.clock.monotonicMs;
+  if (load.leaving || isListedLeaving(context, address)) {
+    markLeaving(context, info);
+  } else if (context.clock.monotonicMs - load.ageMs > info.leavingSeenAtMs) {
+    info.leaving = false;
+  }
+  info.prefixes.remember(load.cachedPrefixHashes);
+  wakeQueue(context);
 }
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -1,4 +1,5 @@
 import type { EngineLoad } from '../types/requests.ts';
+import type { PrefixMemory } from './prefixMemory.ts';
 
 /** What this router knows of one upstream. */
 export interface UpstreamInfo {
@@ -8,8 +9,12 @@
   loadReadAtMs: number;
   /** Set at the first sign that the upstream leaves; it gets no new work. */
   leaving: boolean;
+  /** When the last sign of leaving was seen; only a younger load report takes the sign back. */
+  leavingSeenAtMs: number;
   consecutiveFailures: number;
   ejectedUntilMs: number;
+  /** Prompt prefixes that the engine probably has in its cache. */
+  readonly prefixes: PrefixMemory;
 }
 
 export interface RoutingState {
--- /dev/null
+++ b/packages/core/src/routing/upstreams.ts
@@ -0,0 +1,64 @@
+import type { CoreContext } from '../context.ts';
+import { VmState } from '../types/membership.ts';
+import { PrefixMemory } from './prefixMemory.ts';
+import type { UpstreamInfo } from './types.ts';
+
+/** The knowledge of one upstream, created at the first look. */
+export function upstreamInfo(context: CoreContext, address: string): UpstreamInfo {
+  const { upstreams } = context.board.routing;
+  let info = upstreams.get(address);
+  if (info === undefined) {
+    info = {
+      address,
+      ownInFlightCount: 0,
+      load: undefined,
+      loadReadAtMs: 0,
+      leaving: false,
+      leavingSeenAtMs: -Infinity,
+      consecutiveFailures: 0,
+      ejectedUntilMs: 0,
+      prefixes: new PrefixMemory(),
+    };
+    upstreams.set(address, info);
+  }
+  return info;
+}
+
+/** Applies the membership list: a listed upstream that leaves gets no new work. */
+export function markListedLeaving(context: CoreContext): void {
+  for (const vm of context.board.membership.vms.values()) {
+    if (vm.state === VmState.Leaving) {
+      markLeaving(context, upstreamInfo(context, vm.address));
+    }
+  }
+}
+
+export function isListedLeaving(context: CoreContext, address: string): boolean {
+  const vms = [...context.board.membership.vms.values()];
+  return vms.some((vm) => vm.address === address && vm.state === VmState.Leaving);
+}
+
+export function recordUpstreamSuccess(info: UpstreamInfo): void {
+  info.consecutiveFailures = 0;
+}
+
+/** Ejects an upstream for a while after several failures in a row. */
+export function recordUpstreamFailure(context: CoreContext, info: UpstreamInfo): void {
+  info.consecutiveFailures += 1;
+  if (info.consecutiveFailures >= context.options.ejectAfterFailures) {
+    info.ejectedUntilMs = context.clock.monotonicMs + context.options.ejectMs;
+    // One more failure after the ejection ejects again.
+    info.consecutiveFailures = context.options.ejectAfterFailures - 1;
+  }
+}
+
+/** Excludes an upstream from new work at a sign that it leaves. */
+export function markLeaving(context: CoreContext, info: UpstreamInfo): void {
+  info.leaving = true;
+  info.leavingSeenAtMs = context.clock.monotonicMs;
+}
+
+/** Plain services are not probed, so a refused connection excludes one for a limited time only. */
+export function ejectUpstream(context: CoreContext, info: UpstreamInfo): void {
+  info.ejectedUntilMs = context.clock.monotonicMs + context.options.ejectMs;
+}
