--- a/packages/core/src/createBlackboard.ts
+++ b/packages/core/src/createBlackboard.ts
@@ -1,6 +1,8 @@
 import type { Blackboard, RouterIdentity } from './blackboard.ts';
 import { Confirmation } from './blackboard.ts';
 import { createMoneyState } from './money/createMoneyState.ts';
+import { createRequestState } from './requests/createRequestState.ts';
+import { createRoutingState } from './routing/createRoutingState.ts';
 import { RouterState } from './types/messages.ts';
 
 /** A blackboard without any knowledge: what a router has when its process starts. */
@@ -11,11 +13,12 @@
     confirmation: Confirmation.Confirmed,
     routerState: RouterState.Starting,
     stopRequested: false,
+    acceptsRequests: true,
     configuration: undefined,
     membership: { peers: new Map(), vms: new Map(), listReadAtMs: undefined, absentSinceMs: new Map() },
     money: createMoneyState(incarnationId),
-    requests: { running: new Map() },
-    routing: { upstreams: new Map() },
+    requests: createRequestState(),
+    routing: createRoutingState(),
     replies: {
       tableCalls: new Map(),
       membershipCalls: new Map(),
