Plan the demo's fleets and audit a run from outside evidence

The demo must judge a run by the records of the callers and the stand-ins and never by what routers say.

The fleet plan computes the addresses, settings and configuration rows of both places.

--- /dev/null
+++ b/packages/demo/src/fleet/processGroup.ts
@@ -0,0 +1,69 @@
+import type { ChildProcess } from 'node:child_process';
+import { spawn } from 'node:child_process';
+import { closeSync, openSync, writeFileSync } from 'node:fs';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { stringify } from 'yaml';
+import type { ProcessPlan } from '../place/settingsFiles.ts';
+
+const REPOSITORY_ROOT = fileURLToPath(new URL('../../../..', import.meta.url));
+const CLI_ENTRY = 'packages/cli/src/main.ts';
+/** Time for a process to end by SIGTERM before it is killed. */
+const STOP_WAIT_MS = 2_000;
+
+/** The processes of the demo. Each is signalled through its own handle, so no other process is ever hit. */
+export class ProcessGroup {
+  readonly #folder: string;
+  readonly #children = new Map<string, ChildProcess>();
+
+  constructor(folder: string) {
+    this.#folder = folder;
+  }
+
+  start(plan: ProcessPlan): void {
+    const settingsFile = path.join(this.#folder, `${plan.name}.yaml`);
+    writeFileSync(settingsFile, stringify(plan.settings));
+    const log = openSync(path.join(this.#folder, `${plan.name}.log`), 'a');
+    const args = ['--import', 'tsx', CLI_ENTRY, ...plan.command, '--settings', settingsFile];
+    const child = spawn(process.execPath, args, { cwd: REPOSITORY_ROOT, stdio: ['ignore', log, log] });
+    closeSync(log);
+    this.#children.set(plan.name, child);
+  }
+
+  /** Ends one process at once, as the loss of its VM does. */
+  kill(name: string): void {
+    this.#children.get(name)?.kill('SIGKILL');
+  }
+
+  /** Names and exit codes of the processes that have ended. */
+  ended(): string[] {
+    return [...this.#children]
+      .filter(([, child]) => !isRunning(child))
+      .map(([name, child]) => `${name} (${child.exitCode ?? child.signalCode ?? 'not started'})`);
+  }
+
+  async stopAll(): Promise<void> {
+    const running = [...this.#children.values()].filter(isRunning);
+    const exits = running.map((child) => new Promise((resolve) => child.once('exit', resolve)));
+    for (const child of running) {
+      child.kill('SIGTERM');
+    }
+    const timer = setTimeout(() => {
+      this.killAll();
+    }, STOP_WAIT_MS);
+    await Promise.all(exits);
+    clearTimeout(timer);
+  }
+
+  killAll(): void {
+    for (const child of this.#children.values()) {
+      if (isRunning(child)) {
+        child.kill('SIGKILL');
+      }
+    }
+  }
+}
+
+function isRunning(child: ChildProcess): boolean {
+  return child.pid !== undefined && child.exitCode === null && child.signalCode === null;
+}
--- /dev/null
+++ b/packages/demo/src/fleet/standInClient.ts
@@ -0,0 +1,58 @@
+import type { RowWrite, TableRow } from '@pimentostall/core';
+import type { EngineAuditEntry } from '@pimentostall/standins';
+import { request } from 'undici';
+
+const CALL_TIMEOUT_MS = 3_000;
+
+async function call(address: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<unknown> {
+  const response = await request(`http://${address}${path}`, {
+    method,
+    body: body === undefined ? null : JSON.stringify(body),
+    signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+  });
+  const text = await response.body.text();
+  if (response.statusCode !== 200) {
+    throw new Error(`${method} ${address}${path} answered ${response.statusCode}: ${text}`);
+  }
+  return JSON.parse(text);
+}
+
+export async function control(address: string, body: unknown): Promise<void> {
+  await call(address, 'POST', '/control', body);
+}
+
+export async function writeRows(platformAddress: string, writes: readonly RowWrite[]): Promise<void> {
+  await call(platformAddress, 'POST', '/table/commit', { checks: [], writes });
+}
+
+export async function scanRows(platformAddress: string, keyPrefix: string): Promise<readonly TableRow[]> {
+  const answer = (await call(platformAddress, 'POST', '/table/scan', { keyPrefix })) as { rows: TableRow[] };
+  return answer.rows;
+}
+
+export async function engineAudit(address: string): Promise<Record<string, EngineAuditEntry>> {
+  const answer = await call(address, 'GET', '/audit');
+  return (answer as { requests: Record<string, EngineAuditEntry> }).requests;
+}
+
+export async function serviceAudit(address: string): Promise<Record<string, number>> {
+  const answer = await call(address, 'GET', '/audit');
+  return (answer as { executions: Record<string, number> }).executions;
+}
+
+/** Retries a call until it succeeds; returns false at the deadline. */
+export async function succeedsBefore(deadlineMs: number, attempt: () => Promise<unknown>): Promise<boolean> {
+  while (Date.now() < deadlineMs) {
+    try {
+      await attempt();
+      return true;
+    } catch {
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+  }
+  return false;
+}
+
+export async function waitForStandIn(address: string, deadlineMs: number): Promise<boolean> {
+  return succeedsBefore(deadlineMs, () => call(address, 'GET', '/audit'));
+}
--- /dev/null
+++ b/packages/demo/src/place/places.ts
@@ -0,0 +1,67 @@
+/** An availability zone with its share of the fleet. */
+export interface ZonePlan {
+  readonly availabilityZone: string;
+  readonly region: string;
+  readonly routerCount: number;
+  readonly engineCount: number;
+  readonly serviceCount: number;
+}
+
+/** One user's place: its regions, fleet and services. */
+export interface Place {
+  readonly name: string;
+  /** Third octet of every address of the place, so that two places run side by side. */
+  readonly octet: number;
+  /** The first region holds the store. */
+  readonly regions: readonly [string, string];
+  readonly zones: readonly ZonePlan[];
+  readonly modelServiceId: string;
+  readonly model: string;
+  readonly plainServiceId: string;
+  readonly orderPath: string;
+  readonly lookupPath: string;
+  readonly honoursKey: boolean;
+  readonly linkDelayMs: number;
+}
+
+function zone(
+  region: string,
+  suffix: string,
+  counts: readonly [routers: number, engines: number, services: number],
+): ZonePlan {
+  const [routerCount, engineCount, serviceCount] = counts;
+  return { region, availabilityZone: `${region}-${suffix}`, routerCount, engineCount, serviceCount };
+}
+
+export const PLACES: readonly Place[] = [
+  {
+    name: 'tundu',
+    octet: 10,
+    regions: ['nairobi', 'mombasa'],
+    zones: [
+      zone('nairobi', 'a', [3, 2, 1]),
+      zone('nairobi', 'b', [2, 1, 1]),
+      zone('mombasa', 'a', [2, 2, 1]),
+    ],
+    modelServiceId: 'assistant',
+    model: 'assistant-small',
+    plainServiceId: 'orders',
+    orderPath: '/orders',
+    lookupPath: '/stock',
+    honoursKey: false,
+    linkDelayMs: 8,
+  },
+  {
+    name: 'botella',
+    octet: 20,
+    regions: ['golfo', 'pacifico'],
+    zones: [zone('golfo', 'a', [3, 2, 1]), zone('golfo', 'b', [2, 1, 1]), zone('pacifico', 'a', [2, 1, 1])],
+    modelServiceId: 'pluma',
+    model: 'pluma-verse',
+    plainServiceId: 'mostrador',
+    orderPath: '/payments',
+    lookupPath: '/lookups',
+    honoursKey: false,
+    linkDelayMs: 15,
+  },
+];
--- a/packages/standins/src/engine/__tests__/engineModel.test.ts
+++ b/packages/standins/src/engine/__tests__/engineModel.test.ts
@@ -5,7 +5,7 @@
 import type { EngineModelOptions } from '../options.ts';
 import { SequenceState } from '../sequence.ts';
 
-const BLOCK = 64;
+const BLOCK = 256;
 
 function request(requestId: string, promptLength = 3 * BLOCK, priority = 0) {
   const messages = [{ role: 'user', content: 'x'.repeat(promptLength) }];
@@ -67,7 +67,7 @@
     assert.equal(engine.nextEventMs(), 310);
     engine.submit(request('warm'), 0);
     assert.equal(engine.nextEventMs(), 15);
-    assert.equal(engine.sequence('warm')?.cachedPromptTokens, 3 * 16);
+    assert.equal(engine.sequence('warm')?.cachedPromptTokens, 3 * 64);
   });
 
   it('evicts the least recently used blocks (memory is limited)', () => {
--- a/packages/standins/src/engine/promptBlocks.ts
+++ b/packages/standins/src/engine/promptBlocks.ts
@@ -1,27 +1,27 @@
-import { createHash } from 'node:crypto';
 import type { ChatMessage } from '@pimentostall/core';
+import { hash32 } from '@pimentostall/core';
 
 const CHARACTERS_PER_TOKEN = 4;
-const TOKENS_PER_BLOCK = 16;
-const CHARACTERS_PER_BLOCK = CHARACTERS_PER_TOKEN * TOKENS_PER_BLOCK;
-const HASH_DIGITS = 16;
+/** Routers hash prompts in blocks of the same size; with another size no reported hash would match theirs. */
+const CHARACTERS_PER_BLOCK = 256;
+const TOKENS_PER_BLOCK = CHARACTERS_PER_BLOCK / CHARACTERS_PER_TOKEN;
 
 export interface PromptBlocks {
   readonly tokens: number;
-  /** Hash of the prompt up to the end of each whole block: equal prefixes have equal hashes. */
+  /** One hash per whole block, chained to the blocks before it: equal prefixes have equal hashes. */
   readonly hashes: readonly string[];
 }
 
-export function promptBlocks(messages: readonly ChatMessage[]): PromptBlocks {
-  const text = messages.map(({ role, content }) => `${role}:${content}\n`).join('');
+export function promptBlocks(model: string, messages: readonly ChatMessage[]): PromptBlocks {
+  const text = messages.map(({ role, content }) => `${role}\n${content}\n`).join('');
   const contentLength = messages.reduce((sum, { content }) => sum + content.length, 0);
-  const blockCount = Math.floor(text.length / CHARACTERS_PER_BLOCK);
-  const hashes = Array.from({ length: blockCount }, (_, index) =>
-    createHash('sha256')
-      .update(text.slice(0, (index + 1) * CHARACTERS_PER_BLOCK))
-      .digest('hex')
-      .slice(0, HASH_DIGITS),
-  );
+  const hashes: string[] = [];
+  let previous = model;
+  for (let end = CHARACTERS_PER_BLOCK; end <= text.length; end += CHARACTERS_PER_BLOCK) {
+    const block = text.slice(end - CHARACTERS_PER_BLOCK, end);
+    previous = hash32(`${previous}|${block}`).toString(16).padStart(8, '0');
+    hashes.push(previous);
+  }
   return { tokens: Math.ceil(contentLength / CHARACTERS_PER_TOKEN), hashes };
 }
 
--- a/packages/standins/src/engine/sequence.ts
+++ b/packages/standins/src/engine/sequence.ts
@@ -37,7 +37,7 @@
 export function createSequence(request: EngineRequest, order: number, nowMs: number): Sequence {
   return {
     request,
-    blocks: promptBlocks(request.messages),
+    blocks: promptBlocks(request.model, request.messages),
     targetTokens: expectedOutputTokens(request.requestId, request.maxOutputTokens),
     order,
     chunks: [],
