Propagate configuration, keep membership, answer entry addresses and drain

The core folders configuration, membership, entry and drain held signatures only.

Configuration: two routers per region poll the revision row, a router that is behind asks a peer first and then the table, and a revision is taken as a whole or not at all. Membership: list poll, heartbeats every second in the region and digests to two routers of the other region. Entry answers use rendezvous hashing over Live routers. The drain is woken by a channel on the blackboard.

The blackboard gains stopSignal, acceptsRequests, rejectedRevision and operators. shareLevels and returnAllShares are placeholders for the share ledger. Neighbour heartbeats above 12 routers stay off until digests are relayed, because an unheard peer is not Live.

--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -1,4 +1,4 @@
-import type { ActiveConfiguration } from './configuration/types.ts';
+import type { ActiveConfiguration, Operator } from './configuration/types.ts';
 import type { MembershipView } from './membership/types.ts';
 import type { MoneyState } from './money/types.ts';
 import type { RequestState } from './requests/types.ts';
@@ -43,7 +43,15 @@
   confirmation: Confirmation;
   routerState: RouterState;
   stopRequested: boolean;
+  /** Wakes the drain controller; `stopRequested` alone wakes no task. */
+  readonly stopSignal: Channel<undefined>;
+  /** False once a draining router refuses new requests. */
+  acceptsRequests: boolean;
   configuration: ActiveConfiguration | undefined;
+  /** Highest revision that could not be parsed, so that it is neither fetched nor logged again. */
+  rejectedRevision: number;
+  /** Operators by key hash as last read, so that status can be asked for while the store is down. */
+  readonly operators: Map<string, Operator>;
   readonly membership: MembershipView;
   readonly money: MoneyState;
   readonly requests: RequestState;
--- /dev/null
+++ b/packages/core/src/configuration/__tests__/propagation.test.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { EffectKind, LogLevel } from '../../types/effects.ts';
+import { PeerMessageKind, RouterState } from '../../types/messages.ts';
+import { encodeSection } from '../storedRows.ts';
+import { configurationAt, CoreDriver, peerSends } from './coreDriver.ts';
+import type { TableFake } from './tableFake.ts';
+
+function store(table: TableFake, revision: number, text = '[]'): void {
+  for (const section of configurationAt(revision, text).sections) {
+    table.put(`config/section/${section.name}`, encodeSection(section));
+  }
+  table.put('config/revision', { revision });
+}
+
+function revisionOf(driver: CoreDriver): number | undefined {
+  return driver.core.board.configuration?.revision;
+}
+
+const reply = (revision: number, text?: string) =>
+  ({
+    kind: PeerMessageKind.ConfigurationReply,
+    configuration: configurationAt(revision, text),
+  }) as const;
+
+// Guards against a late reply of a peer or a table read from before a change that undoes an accepted change.
+test('a router never goes to a lower revision', () => {
+  const driver = new CoreDriver();
+  driver.receive(2, reply(5));
+  driver.receive(3, reply(4));
+  store(driver.table, 3);
+  driver.advance(5_000);
+  assert.equal(revisionOf(driver), 5);
+});
+
+// Guards against a restarted router that refuses everybody although its peers hold the configuration.
+test('a router restarted with the store down takes the highest revision of its peers', () => {
+  const driver = new CoreDriver();
+  driver.table.down = true;
+  driver.advance(1_000);
+  const asked = [
+    ...driver.hear(2, RouterState.Live, 7),
+    ...driver.hear(3, RouterState.Live, 9),
+    ...driver.advance(1_000),
+  ];
+  assert.ok(peerSends(asked, PeerMessageKind.ConfigurationRequest).length > 0);
+  driver.receive(3, reply(9));
+  driver.receive(2, reply(7));
+  assert.equal(revisionOf(driver), 9);
+});
+
+// Guards against a mixture of two revisions: the sections of one with the number of the other.
+test('sections that were read while the revision moved are read again', () => {
+  const driver = new CoreDriver();
+  store(driver.table, 1, 'old');
+  driver.table.afterScan = () => {
+    store(driver.table, 2, 'new');
+  };
+  driver.advance(1_000);
+  const stored = driver.core.board.configuration?.stored;
+  assert.equal(stored?.revision, 2);
+  assert.equal(stored.sections[0]?.text, 'new');
+});
+
+// Guards against an outage by a revision that this version of the program cannot parse.
+test('an unparsable revision leaves the one in force and is logged once', () => {
+  const driver = new CoreDriver();
+  driver.receive(2, reply(1));
+  store(driver.table, 2, 'broken');
+  driver.advance(10_000);
+  assert.equal(revisionOf(driver), 1);
+  const errors = driver.effects.filter(
+    (effect) => effect.kind === EffectKind.Log && effect.level === LogLevel.Error,
+  );
+  assert.equal(errors.length, 1);
+  store(driver.table, 3);
+  driver.advance(3_000);
+  assert.equal(revisionOf(driver), 3);
+});
+
+// Guards against requests taken by a router that has no row yet, which no peer could fence.
+test('a router is Live only with a configuration and its router row', () => {
+  const driver = new CoreDriver();
+  driver.receive(2, reply(1));
+  driver.advance(2_000);
+  assert.equal(driver.core.board.routerState, RouterState.Starting);
+  driver.writeRouterRow();
+  driver.advance(1_000);
+  assert.equal(driver.core.board.routerState, RouterState.Live);
+});
+
+// Guards against reads of the store that grow with the number of routers.
+test('two routers of a region poll the revision', () => {
+  const numbers = [1, 2, 3, 4, 5, 6];
+  const pollers = numbers.filter((number) => {
+    const driver = new CoreDriver({ number });
+    driver.receive(9, reply(1));
+    for (const other of numbers.filter((candidate) => candidate !== number)) {
+      driver.hear(other, RouterState.Live, 1);
+    }
+    // The own row is not there, so only the reads of the revision are counted.
+    const effects = driver.advance(2_500);
+    return effects.some(
+      (effect) => effect.kind === EffectKind.TableRead && effect.keys.includes('config/revision'),
+    );
+  });
+  assert.equal(pollers.length, 2);
+});
--- a/packages/core/src/configuration/exchangeConfiguration.ts
+++ b/packages/core/src/configuration/exchangeConfiguration.ts
@@ -1,17 +1,28 @@
 import type { CoreContext } from '../context.ts';
+import { EffectKind } from '../types/effects.ts';
 import type { StoredConfiguration } from '../types/configuration.ts';
 import type { PeerSender } from '../types/messages.ts';
+import { PeerMessageKind } from '../types/messages.ts';
+import { takeConfiguration } from './activateConfiguration.ts';
 
 /** Answers a peer that knows only a lower revision. */
 export function handleConfigurationRequest(
-  _context: CoreContext,
-  _sender: PeerSender,
-  _knownRevision: number,
+  context: CoreContext,
+  sender: PeerSender,
+  knownRevision: number,
 ): void {
-  // Added with configuration.
+  const configuration = context.board.configuration?.stored;
+  if (configuration === undefined || configuration.revision <= knownRevision) {
+    return;
+  }
+  context.emit({
+    kind: EffectKind.PeerSend,
+    peerAddress: sender.peerAddress,
+    message: { kind: PeerMessageKind.ConfigurationReply, configuration },
+  });
 }
 
 /** Takes a higher revision from a peer. */
-export function handleConfigurationReply(_context: CoreContext, _configuration: StoredConfiguration): void {
-  // Added with configuration.
+export function handleConfigurationReply(context: CoreContext, configuration: StoredConfiguration): void {
+  takeConfiguration(context, configuration);
 }
--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -12,6 +12,13 @@
   readonly stored: StoredConfiguration;
   readonly document: ConfigurationDocument;
   readonly organisationByKeySha256: ReadonlyMap<string, OrganisationSection>;
+  readonly organisationById: ReadonlyMap<string, OrganisationSection>;
   readonly ruleByModel: ReadonlyMap<string, ModelRule>;
   readonly plainServiceById: ReadonlyMap<string, PlainServiceSection>;
 }
+
+/** A row `operator/{keySha256}`: who may change which sections. */
+export interface Operator {
+  readonly operatorId: string;
+  readonly sections: readonly string[];
+}
--- a/packages/core/src/controllers.ts
+++ b/packages/core/src/controllers.ts
@@ -1,4 +1,5 @@
 import { configurationController } from './configuration/configurationController.ts';
+import { liveStateController } from './configuration/liveStateController.ts';
 import type { CoreContext } from './context.ts';
 import { drainController } from './drain/drainController.ts';
 import { heartbeatController } from './membership/heartbeatController.ts';
@@ -9,6 +10,7 @@
 /** Starts the tasks that run for the whole life of the router. */
 export function startControllers(context: CoreContext): void {
   context.spawn('configuration', configurationController(context));
+  context.spawn('liveState', liveStateController(context));
   context.spawn('membership', membershipController(context));
   context.spawn('heartbeat', heartbeatController(context));
   context.spawn('probe', probeController(context));
--- a/packages/core/src/dispatchEvent.ts
+++ b/packages/core/src/dispatchEvent.ts
@@ -39,6 +39,7 @@
       return;
     case EventKind.StopRequested:
       context.board.stopRequested = true;
+      context.board.stopSignal.push(undefined);
       return;
     case EventKind.Tick:
       return;
--- a/packages/core/src/drain/drainController.ts
+++ b/packages/core/src/drain/drainController.ts
@@ -1,7 +1,59 @@
 import type { CoreContext } from '../context.ts';
+import { logInfo, logWarn } from '../log.ts';
+import { sendFarDigests, sendRegionHeartbeats } from '../membership/sendHeartbeats.ts';
+import { returnAllShares } from '../money/returnAllShares.ts';
 import type { Task } from '../scheduler/task.ts';
+import { receive, sleepUntil } from '../scheduler/task.ts';
+import { EffectKind } from '../types/effects.ts';
+import { RouterState } from '../types/messages.ts';
+
+/** Running requests are looked at this often; they end by themselves and wake no channel of the drain. */
+const RUNNING_CHECK_INTERVAL_MS = 100;
+/** With the store down the exit must not wait for ever: the reclaim finds what is left. */
+const MAX_RETURN_TRIES = 10;
+const RETURN_RETRY_INTERVAL_MS = 1_000;
 
 /** Leads a stopping router through its drain to its exit. */
-export function* drainController(_context: CoreContext): Task<void> {
-  // Added with the drain.
+export function* drainController(context: CoreContext): Task<void> {
+  yield* receive(context.board.stopSignal, Infinity);
+  announceDrain(context);
+  yield* sleepUntil(context.clock.monotonicMs + context.options.entryKeepMs);
+  context.board.acceptsRequests = false;
+  yield* waitForRequests(context);
+  yield* returnShares(context);
+  logInfo(context, 'The drain is complete; the router exits.', {
+    routerId: context.board.identity.routerId,
+    incarnationId: context.board.incarnationId,
+  });
+  context.emit({ kind: EffectKind.Exit });
+}
+
+/** Peers leave this router out of their entry answers as soon as they hear of its state. */
+function announceDrain(context: CoreContext): void {
+  context.board.routerState = RouterState.Draining;
+  sendRegionHeartbeats(context);
+  sendFarDigests(context, 0);
+  logInfo(context, 'The router drains: it accepts requests until cached entry answers have expired.', {
+    entryKeepMs: context.options.entryKeepMs,
+    runningCount: context.board.requests.running.size,
+  });
+}
+
+function* waitForRequests(context: CoreContext): Task<void> {
+  while (context.board.requests.running.size > 0) {
+    yield* sleepUntil(context.clock.monotonicMs + RUNNING_CHECK_INTERVAL_MS);
+  }
+}
+
+function* returnShares(context: CoreContext): Task<void> {
+  for (let tries = 1; tries <= MAX_RETURN_TRIES; tries += 1) {
+    if (yield* returnAllShares(context)) {
+      return;
+    }
+    yield* sleepUntil(context.clock.monotonicMs + RETURN_RETRY_INTERVAL_MS);
+  }
+  logWarn(context, 'The drain ends with shares that could not be returned; a peer reclaims them.', {
+    tries: MAX_RETURN_TRIES,
+    incarnationId: context.board.incarnationId,
+  });
 }
--- /dev/null
+++ b/packages/core/src/entry/__tests__/entryAddresses.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { CoreDriver } from '../../configuration/__tests__/coreDriver.ts';
+import { RouterState } from '../../types/messages.ts';
+import { chooseEntryAddresses, entryAddresses } from '../entryAddresses.ts';
+
+// Guards against money spread anew over all routers whenever one comes or goes.
+test('a router that leaves moves only the organisations that it served', () => {
+  const addresses = fc.uniqueArray(fc.ipV4(), { minLength: 3, maxLength: 30 });
+  fc.assert(
+    fc.property(addresses, fc.string(), fc.nat(), (candidates, organisationId, index) => {
+      const gone = candidates[index % candidates.length];
+      const before = chooseEntryAddresses(organisationId, candidates, 2);
+      const rest = candidates.filter((candidate) => candidate !== gone);
+      const after = chooseEntryAddresses(organisationId, rest, 2);
+      const kept = before.filter((address) => address !== gone);
+      assert.ok(kept.every((address) => after.includes(address)));
+    }),
+    { seed: 1, numRuns: 300 },
+  );
+});
+
+// Guards against callers sent to a router that stops, is silent or belongs to the other region.
+test('entry answers name Live routers of the region only', () => {
+  const driver = new CoreDriver();
+  const { board } = driver.core;
+  const context = { board, options: { peerTimeoutMs: 3_000, entryReplicas: 9 }, clock: { monotonicMs: 0 } };
+  const answer = () => entryAddresses(context as never, 'o').sort();
+  board.routerState = RouterState.Live;
+  driver.hear(2);
+  driver.hear(3, RouterState.Starting);
+  driver.hear(4, RouterState.Live, 0, 'far');
+  assert.deepEqual(answer(), ['10.0.0.1:80', '10.0.0.2:80']);
+  driver.hear(2, RouterState.Draining);
+  driver.hear(2, RouterState.Live);
+  assert.deepEqual(answer(), ['10.0.0.1:80']);
+  board.routerState = RouterState.Draining;
+  assert.deepEqual(answer(), []);
+});
--- a/packages/core/src/log.ts
+++ b/packages/core/src/log.ts
@@ -10,3 +10,7 @@
 export function logWarn(context: CoreContext, message: string, fields: LogFields): void {
   context.emit({ kind: EffectKind.Log, level: LogLevel.Warn, message, fields });
 }
+
+export function logError(context: CoreContext, message: string, fields: LogFields): void {
+  context.emit({ kind: EffectKind.Log, level: LogLevel.Error, message, fields });
+}
--- a/packages/core/src/membership/handleHeartbeat.ts
+++ b/packages/core/src/membership/handleHeartbeat.ts
@@ -1,17 +1,24 @@
 import type { CoreContext } from '../context.ts';
+import { RouterState } from '../types/messages.ts';
 import type { PeerMessage, PeerMessageKind, PeerSender } from '../types/messages.ts';
 
 export type HeartbeatMessage = Extract<PeerMessage, { readonly kind: PeerMessageKind.Heartbeat }>;
 
-/** Records what a peer says of itself. */
+/** Records what a peer says of itself. Messages may be late, so one incarnation never moves backwards. */
 export function handleHeartbeat(context: CoreContext, sender: PeerSender, message: HeartbeatMessage): void {
-  context.board.membership.peers.set(sender.peerAddress, {
+  const { board, clock } = context;
+  if (sender.peerAddress === board.identity.peerAddress) {
+    return;
+  }
+  const known = board.membership.peers.get(sender.peerAddress);
+  const earlier = known?.sender.incarnationId === sender.incarnationId ? known : undefined;
+  board.membership.peers.set(sender.peerAddress, {
     sender,
-    state: message.state,
+    state: earlier?.state === RouterState.Draining ? RouterState.Draining : message.state,
     callerAddress: message.callerAddress,
-    configurationRevision: message.configurationRevision,
+    configurationRevision: Math.max(message.configurationRevision, earlier?.configurationRevision ?? 0),
     openRequestCount: message.openRequestCount,
     shareLevels: message.shareLevels,
-    heardAtMs: context.clock.monotonicMs,
+    heardAtMs: clock.monotonicMs,
   });
 }
--- a/packages/core/src/membership/heartbeatController.ts
+++ b/packages/core/src/membership/heartbeatController.ts
@@ -1,7 +1,20 @@
 import type { CoreContext } from '../context.ts';
 import type { Task } from '../scheduler/task.ts';
+import { sleepUntil } from '../scheduler/task.ts';
+import { sendFarDigests, sendRegionHeartbeats } from './sendHeartbeats.ts';
 
 /** Sends heartbeats to the peers of the region and digests across the region link. */
-export function* heartbeatController(_context: CoreContext): Task<void> {
-  // Added with membership.
+export function* heartbeatController(context: CoreContext): Task<void> {
+  let nextDigestAtMs = context.clock.monotonicMs;
+  let round = 0;
+  for (;;) {
+    const nowMs = context.clock.monotonicMs;
+    sendRegionHeartbeats(context);
+    if (nowMs >= nextDigestAtMs) {
+      sendFarDigests(context, round);
+      round += 1;
+      nextDigestAtMs = nowMs + context.options.regionDigestIntervalMs;
+    }
+    yield* sleepUntil(nowMs + context.options.heartbeatIntervalMs);
+  }
 }
--- a/packages/core/src/membership/membershipController.ts
+++ b/packages/core/src/membership/membershipController.ts
@@ -1,7 +1,55 @@
+import { withChannel } from '../context.ts';
 import type { CoreContext } from '../context.ts';
+import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
+import { receive, sleepUntil } from '../scheduler/task.ts';
+import { EffectKind } from '../types/effects.ts';
+import type { EventOf } from '../blackboard.ts';
+import type { EventKind } from '../types/events.ts';
+import type { VmRow } from '../types/membership.ts';
+import { forgetGonePeers } from './forgetGonePeers.ts';
+
+type MembershipReply = EventOf<EventKind.MembershipReply>;
 
 /** Reads the platform's membership list at an interval. */
-export function* membershipController(_context: CoreContext): Task<void> {
-  // Added with membership.
+export function* membershipController(context: CoreContext): Task<void> {
+  for (;;) {
+    const startedAtMs = context.clock.monotonicMs;
+    const rows = yield* readMembership(context);
+    if (rows !== undefined) {
+      applyMembership(context, rows);
+    }
+    forgetGonePeers(context);
+    yield* sleepUntil(startedAtMs + context.options.membershipIntervalMs);
+  }
+}
+
+function* readMembership(context: CoreContext): Task<readonly VmRow[] | undefined> {
+  const callId = context.newId();
+  const channel = new Channel<MembershipReply>();
+  context.emit({ kind: EffectKind.MembershipRead, callId });
+  const deadlineMs = context.clock.monotonicMs + context.options.tableTimeoutMs;
+  const reply = yield* withChannel(
+    context.board.replies.membershipCalls,
+    callId,
+    channel,
+    receive(channel, deadlineMs),
+  );
+  return reply?.rows;
+}
+
+/** Replaces the list and notes since when each VM that was once listed is absent. */
+function applyMembership(context: CoreContext, rows: readonly VmRow[]): void {
+  const view = context.board.membership;
+  const nowMs = context.clock.monotonicMs;
+  view.vms = new Map(rows.map((row) => [row.vmId, row]));
+  view.listReadAtMs = nowMs;
+  for (const [vmId, absentSinceMs] of view.absentSinceMs) {
+    if (!view.vms.has(vmId)) {
+      view.absentSinceMs.set(vmId, absentSinceMs ?? nowMs);
+    }
+  }
+  for (const { vmId } of rows) {
+    view.absentSinceMs.set(vmId, undefined);
+  }
 }
--- /dev/null
+++ b/packages/core/src/membership/routerAddresses.ts
@@ -0,0 +1,29 @@
+import type { CoreContext } from '../context.ts';
+import { VmRole } from '../types/membership.ts';
+
+interface RouterAddresses {
+  /** Peer addresses of the other routers of the own region. */
+  readonly near: string[];
+  /** Peer addresses of routers of other regions. */
+  readonly far: string[];
+}
+
+/** Routers known from the list or from their heartbeats; the list lags and the platform may be down. */
+export function routerAddresses(context: CoreContext): RouterAddresses {
+  const { identity, membership } = context.board;
+  const regionByAddress = new Map<string, string>();
+  for (const vm of membership.vms.values()) {
+    if (vm.role === VmRole.Router) {
+      regionByAddress.set(vm.address, vm.region);
+    }
+  }
+  for (const [address, peer] of membership.peers) {
+    regionByAddress.set(address, peer.sender.region);
+  }
+  regionByAddress.delete(identity.peerAddress);
+  const addresses = [...regionByAddress.keys()];
+  return {
+    near: addresses.filter((address) => regionByAddress.get(address) === identity.region),
+    far: addresses.filter((address) => regionByAddress.get(address) !== identity.region),
+  };
+}
--- /dev/null
+++ b/packages/core/src/membership/sendHeartbeats.ts
@@ -0,0 +1,47 @@
+import type { CoreContext } from '../context.ts';
+import { shareLevels } from '../money/shareLevels.ts';
+import { EffectKind } from '../types/effects.ts';
+import type { ShareLevel } from '../types/messages.ts';
+import { PeerMessageKind } from '../types/messages.ts';
+import type { HeartbeatMessage } from './handleHeartbeat.ts';
+import { digestTargets, heartbeatTargets } from './heartbeatTargets.ts';
+import { routerAddresses } from './routerAddresses.ts';
+
+/** Relayed digests are not written yet, so every router of the region must be reached directly. */
+const RELAYED_DIGESTS = false;
+
+/** Sends this router's heartbeat to its region. */
+export function sendRegionHeartbeats(context: CoreContext): void {
+  const { near } = routerAddresses(context);
+  const targets = heartbeatTargets({
+    ownAddress: context.board.identity.peerAddress,
+    regionAddresses: near,
+    relayed: RELAYED_DIGESTS,
+  });
+  sendTo(context, targets, shareLevels(context));
+}
+
+/** Sends a heartbeat without share levels across the region link, which is narrow and paid by volume. */
+export function sendFarDigests(context: CoreContext, round: number): void {
+  const { far } = routerAddresses(context);
+  sendTo(context, digestTargets(context.board.identity.peerAddress, far, round), []);
+}
+
+function sendTo(context: CoreContext, addresses: readonly string[], levels: readonly ShareLevel[]): void {
+  const message = createHeartbeat(context, levels);
+  for (const peerAddress of addresses) {
+    context.emit({ kind: EffectKind.PeerSend, peerAddress, message });
+  }
+}
+
+function createHeartbeat(context: CoreContext, levels: readonly ShareLevel[]): HeartbeatMessage {
+  const { board } = context;
+  return {
+    kind: PeerMessageKind.Heartbeat,
+    state: board.routerState,
+    callerAddress: board.identity.callerAddress,
+    configurationRevision: board.configuration?.revision ?? 0,
+    openRequestCount: board.requests.running.size,
+    shareLevels: levels,
+  };
+}
