--- a/packages/core/src/createBlackboard.ts
+++ b/packages/core/src/createBlackboard.ts
@@ -3,6 +3,7 @@
 import { createMoneyState } from './money/createMoneyState.ts';
 import { createRequestState } from './requests/createRequestState.ts';
 import { createRoutingState } from './routing/createRoutingState.ts';
+import { Channel } from './scheduler/channel.ts';
 import { RouterState } from './types/messages.ts';
 
 /** A blackboard without any knowledge: what a router has when its process starts. */
@@ -13,8 +14,11 @@
     confirmation: Confirmation.Confirmed,
     routerState: RouterState.Starting,
     stopRequested: false,
+    stopSignal: new Channel(),
     acceptsRequests: true,
     configuration: undefined,
+    rejectedRevision: 0,
+    operators: new Map(),
     membership: { peers: new Map(), vms: new Map(), listReadAtMs: undefined, absentSinceMs: new Map() },
     money: createMoneyState(incarnationId),
     requests: createRequestState(),
--- a/packages/core/src/money/__tests__/fleet.ts
+++ b/packages/core/src/money/__tests__/fleet.ts
@@ -73,6 +73,7 @@
         revision: 1,
         stored: { revision: 1, sections: [] },
         document,
+        organisationById: new Map(),
         organisationByKeySha256: new Map(),
         ruleByModel: new Map(),
         plainServiceById: new Map(),
--- a/packages/core/src/requests/__tests__/requestBench.ts
+++ b/packages/core/src/requests/__tests__/requestBench.ts
@@ -74,6 +74,7 @@
     revision: 1,
     stored: { revision: 1, sections: [] },
     document,
+    organisationById: new Map(),
     organisationByKeySha256: new Map(
       document.organisations.flatMap((section) => section.keySha256.map((key) => [key, section] as const)),
     ),
