Test the request part and fix what the tests found

Cause: the request part had four tests. Writing the others showed three faults: a request whose second engine was lost could start on a third one, the queue bound counted classes that never wait in it, and a service reported as leaving kept that sign when a new VM took its address.

Change: tests for relay, billing order, retries, identities, resume, redirect, pause, queue, claims, retry budget, ejection, choice of engine and probes. A start after an attempt that reached an engine counts as the one retry. The queue is as long as the longest bound of a model class. Upstreams that the configuration no longer names are forgotten. Token counts that are no numbers cannot reach the bill.

--- a/packages/core/src/requests/__tests__/chatRequest.test.ts
+++ b/packages/core/src/requests/__tests__/chatRequest.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Confirmation } from '../../blackboard.ts';
+import { EffectKind } from '../../types/effects.ts';
+import { EventKind } from '../../types/events.ts';
+import { RecordState } from '../../types/messages.ts';
+import { CallerRequestKind, UpstreamRequestKind } from '../../types/requests.ts';
 import { RefusalReason, Verdict } from '../../types/verdict.ts';
-import { RequestBench } from './requestBench.ts';
+import { ENGINES, OTHER_KEY_SHA, RequestBench } from './requestBench.ts';
 
 test('a streamed answer is relayed in order and once despite duplicates, gaps and late attempts', () => {
   const bench = new RequestBench();
@@ -41,3 +46,199 @@
   assert.equal(problem.verdict, Verdict.DidNotRun);
   assert.equal(problem.retryAfterSeconds, 1);
 });
+
+test('a refused connection moves the request to another engine, and with none left nothing ran', () => {
+  const bench = new RequestBench();
+  const caller = bench.chat();
+  bench.fail(bench.open(0).attemptId, false);
+  assert.notEqual(bench.open(1).address, bench.open(0).address);
+  bench.fail(bench.open(1).attemptId, false);
+  assert.equal(bench.problem(caller)?.verdict, Verdict.DidNotRun);
+  assert.equal(bench.ledger.at(-1), 'release');
+});
+
+test('a loss after bytes were sent is retried once and never reported as not run', () => {
+  const bench = new RequestBench();
+  bench.addEngines('127.1.0.33:8400', '127.1.0.34:8400');
+  const caller = bench.chat();
+  bench.fail(bench.open(0).attemptId, true);
+  assert.equal(bench.ofKind(EffectKind.UpstreamCancel)[0]?.stopWork, true);
+  assert.equal(bench.open(1).request.kind, UpstreamRequestKind.EngineStart);
+  bench.fail(bench.open(1).attemptId, true);
+  assert.ok(bench.opens.slice(2).every(({ request }) => request.kind === UpstreamRequestKind.EngineResume));
+  bench.fail(bench.open(2).attemptId, false);
+  assert.equal(
+    bench.opens.filter(({ request }) => request.kind === UpstreamRequestKind.EngineStart).length,
+    2,
+  );
+  assert.equal(bench.problem(caller)?.verdict, Verdict.MayHaveRun);
+  assert.equal(bench.ledger.at(-1), 'complete 0');
+});
+
+test('callers of one identity share one run, other bodies and other organisations never see it', () => {
+  const bench = new RequestBench();
+  const first = bench.chat({ idempotencyKey: 'k' });
+  bench.chunk(bench.open(0).attemptId, 0, 'a');
+  const second = bench.chat({ idempotencyKey: 'k' }, 'hello', 'small', false);
+  const other = bench.chat({ idempotencyKey: 'k' }, 'different');
+  bench.chat({ idempotencyKey: 'k', keySha256: OTHER_KEY_SHA });
+  bench.finish(bench.open(0).attemptId, 1);
+  assert.equal(bench.problem(other)?.reason, RefusalReason.IdentityInUse);
+  assert.equal(bench.streamedText(first), 'a!');
+  assert.equal(bench.streamedText(second), 'a!');
+  assert.equal(bench.opens.length, 2);
+  assert.notEqual(bench.open(0).request.requestId, bench.open(1).request.requestId);
+});
+
+test('a billed answer is sent again from its engine and not billed again', () => {
+  const bench = new RequestBench();
+  bench.chat({ idempotencyKey: 'k' });
+  bench.finish(bench.open(0).attemptId, 0);
+  const again = bench.chat({ idempotencyKey: 'k' });
+  assert.equal(bench.open(1).request.kind, UpstreamRequestKind.EngineResume);
+  bench.finish(bench.open(1).attemptId, 0);
+  assert.equal(bench.streamedText(again), '!');
+  const reused = bench.chat({ idempotencyKey: 'k' }, 'different');
+  assert.equal(bench.problem(reused)?.reason, RefusalReason.IdentityInUse);
+  const gone = bench.chat({ idempotencyKey: 'k' });
+  bench.send({ kind: EventKind.UpstreamStarted, attemptId: bench.open(2).attemptId, status: 404 });
+  assert.equal(bench.problem(gone)?.verdict, Verdict.Ran);
+  assert.deepEqual(bench.ledger, ['reserve 134', 'protect', 'complete 16']);
+});
+
+test('a caller without a key that leaves has its work cancelled and billed by the counts of the engine', () => {
+  const bench = new RequestBench();
+  const exchangeId = bench.chat();
+  bench.chunk(bench.open(0).attemptId, 0, 'a');
+  bench.send({ kind: EventKind.CallerGone, exchangeId });
+  assert.equal(bench.ofKind(EffectKind.UpstreamCancel)[0]?.stopWork, true);
+  bench.finish(bench.open(0).attemptId, 9, 5);
+  assert.equal(bench.ledger.at(-1), 'complete 56');
+});
+
+test('a caller with a key that leaves keeps its work for the resume window and may return to it', () => {
+  const bench = new RequestBench();
+  const exchangeId = bench.chat({ idempotencyKey: 'k' });
+  bench.chunk(bench.open(0).attemptId, 0, 'a');
+  bench.send({ kind: EventKind.CallerGone, exchangeId });
+  bench.advance(9_000);
+  const back = bench.chat({ idempotencyKey: 'k' });
+  bench.advance(9_000);
+  assert.equal(bench.ofKind(EffectKind.UpstreamCancel).length, 0);
+  bench.send({ kind: EventKind.CallerGone, exchangeId: back });
+  bench.advance(10_000);
+  assert.equal(bench.ofKind(EffectKind.UpstreamCancel).length, 1);
+  bench.advance(1_250);
+  // Without counts from the engine: 21 prompt bytes with template / 4, rounded up, and one relayed chunk.
+  assert.equal(bench.ledger.at(-1), 'complete 20');
+});
+
+test('a short share redirects once to a peer that covers the request', () => {
+  const bench = new RequestBench();
+  bench.reserveFailure = { reason: RefusalReason.BudgetExhausted, redirectAddress: '127.1.0.2:8080' };
+  bench.chat({ target: '/v1/chat/completions' });
+  const start = bench.ofKind(EffectKind.CallerStart)[0];
+  assert.equal(start?.status, 307);
+  assert.equal(start.headers.Location, 'http://127.1.0.2:8080/v1/chat/completions?hop=1');
+  const redirected = bench.chat({ redirected: true });
+  assert.equal(bench.problem(redirected)?.reason, RefusalReason.BudgetExhausted);
+  assert.equal(bench.problem(redirected)?.verdict, Verdict.DidNotRun);
+});
+
+test('a retry resumes the stream that a dead router left, and what it left is evidence for the verdict', () => {
+  const bench = new RequestBench();
+  const record = {
+    requestId: 'school:k',
+    organisationId: 'school',
+    incarnationId: 'dead',
+    state: RecordState.Reserved,
+    amountMicros: 134,
+    upstreamAddress: ENGINES[1],
+  };
+  bench.findings = { records: [record], runningAddress: undefined };
+  bench.chat({ idempotencyKey: 'k' });
+  assert.equal(bench.open(0).address, ENGINES[1]);
+  assert.equal(bench.open(0).request.kind, UpstreamRequestKind.EngineResume);
+  bench.reserveFailure = { reason: RefusalReason.StoreUnavailable, redirectAddress: undefined };
+  assert.equal(bench.problem(bench.chat({ idempotencyKey: 'k2' }))?.verdict, Verdict.MayHaveRun);
+});
+
+test('a paused router sends nothing', () => {
+  const bench = new RequestBench();
+  bench.core.board.confirmation = Confirmation.Unconfirmed;
+  const caller = bench.chat();
+  assert.equal(bench.opens.length, 0);
+  assert.equal(bench.problem(caller)?.reason, RefusalReason.Paused);
+  assert.equal(bench.problem(caller)?.verdict, Verdict.DidNotRun);
+  assert.equal(bench.ledger.at(-1), 'release');
+});
+
+test('a new incarnation does not spend the reservation of the fenced one', () => {
+  const bench = new RequestBench();
+  bench.chat();
+  bench.chat();
+  const queued = bench.chat();
+  bench.core.board.incarnationId = 'next';
+  bench.finish(bench.open(0).attemptId, 0);
+  assert.equal(bench.opens.length, 2);
+  assert.equal(bench.problem(queued)?.reason, RefusalReason.Paused);
+});
+
+test('the deadline of the class cancels the work and is reported with its verdict', () => {
+  const bench = new RequestBench();
+  const caller = bench.chat();
+  bench.advance(31_250);
+  assert.equal(bench.ofKind(EffectKind.UpstreamCancel)[0]?.stopWork, true);
+  assert.equal(bench.problem(caller)?.reason, RefusalReason.DeadlineExceeded);
+  assert.equal(bench.problem(caller)?.verdict, Verdict.MayHaveRun);
+});
+
+test('the queue is bounded, sheds batch work first and serves the urgent class first', () => {
+  const bench = new RequestBench();
+  bench.chat();
+  bench.chat();
+  const queuedBatch = bench.chat({}, 'hello', 'batch');
+  const secondBatch = bench.chat({}, 'hello', 'batch');
+  assert.equal(bench.problem(secondBatch)?.reason, RefusalReason.QueueFull);
+  bench.chat();
+  bench.finish(bench.open(0).attemptId, 0);
+  const { request } = bench.open(2);
+  assert.ok(request.kind === UpstreamRequestKind.EngineStart && request.model === 'small');
+  bench.chat();
+  assert.equal(bench.problem(queuedBatch), undefined);
+  bench.chat();
+  assert.equal(bench.problem(queuedBatch)?.reason, RefusalReason.QueueFull);
+  assert.equal(bench.problem(queuedBatch)?.verdict, Verdict.DidNotRun);
+  assert.equal(bench.problem(bench.chat())?.reason, RefusalReason.QueueFull);
+});
+
+test('a router that stopped accepting refuses with a verdict and still answers entry and health', () => {
+  const bench = new RequestBench();
+  bench.core.board.acceptsRequests = false;
+  const problem = bench.problem(bench.chat());
+  assert.equal(problem?.reason, RefusalReason.Draining);
+  assert.equal(problem.verdict, Verdict.DidNotRun);
+  const entry = bench.arrive({ kind: CallerRequestKind.Entry });
+  assert.equal(bench.received(entry), '{"addresses":["127.1.0.1:8080"],"keepMs":5000}');
+  assert.match(bench.received(bench.arrive({ kind: CallerRequestKind.Health })), /"ready":false/);
+});
+
+test('times, answers and refusals are measured by organisation and class', () => {
+  const bench = new RequestBench();
+  bench.chat();
+  bench.advance(100);
+  bench.chunk(bench.open(0).attemptId, 0, 'a');
+  bench.advance(20);
+  bench.finish(bench.open(0).attemptId, 1);
+  bench.core.board.acceptsRequests = false;
+  bench.chat();
+  const measured = bench.ofKind(EffectKind.Metric).map(({ metric, value, label }) => [metric, value, label]);
+  assert.deepEqual(measured, [
+    ['queueWait', 0, ''],
+    ['timeToFirstToken', 100, ''],
+    ['timeBetweenTokens', 20, ''],
+    ['answered', 1, ''],
+    ['totalTime', 120, ''],
+    ['refused', 1, 'draining'],
+  ]);
+});
--- a/packages/core/src/requests/__tests__/requestBench.ts
+++ b/packages/core/src/requests/__tests__/requestBench.ts
@@ -1,5 +1,7 @@
-import { ok } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import type { ActiveConfiguration } from '../../configuration/types.ts';
+import type { RecordFindings } from '../../money/reservations.ts';
+import type { ReserveFailure } from '../../money/reserve.ts';
 import { seededRandom } from '../../random.ts';
 import { RouterCore } from '../../routerCore.ts';
 import { sleepUntil } from '../../scheduler/task.ts';
@@ -17,12 +19,13 @@
 import type { MoneyFunctions } from '../types.ts';
 
 export const KEY_SHA = 'a'.repeat(64);
+export const OTHER_KEY_SHA = 'b'.repeat(64);
 export const ENGINES = ['127.1.0.31:8400', '127.1.0.32:8400'];
 
 const document: ConfigurationDocument = {
   organisations: [
     { organisationId: 'school', keySha256: [KEY_SHA], entryWeight: 1 },
-    { organisationId: 'club', keySha256: ['b'.repeat(64)], entryWeight: 1 },
+    { organisationId: 'club', keySha256: [OTHER_KEY_SHA], entryWeight: 1 },
   ],
   budgets: [],
   services: [
@@ -55,7 +58,7 @@
   ],
   classes: [
     { classId: 'chat', priority: 10, batch: false, maxQueued: 2, deadlineMs: 30_000 },
-    { classId: 'batch', priority: 1, batch: true, maxQueued: 2, deadlineMs: 30_000 },
+    { classId: 'batch', priority: 1, batch: true, maxQueued: 1, deadlineMs: 30_000 },
     { classId: 'orders', priority: 10, batch: false, maxQueued: 5, deadlineMs: 10_000 },
   ],
   engines: ENGINES.map((address, index) => ({
@@ -94,10 +97,13 @@
   effects: Effect[] = [];
   readonly ledger: string[] = [];
   completeDelayMs = 0;
+  /** A refusal of the ledger, or what peers know. */
+  reserveFailure: ReserveFailure | undefined;
+  findings: RecordFindings = { records: [], runningAddress: undefined };
   nowMs = 1_000;
   private exchangeCount = 0;
 
-  constructor(configured = true) {
+  constructor(configured = true, probeIntervalMs = 1_000_000) {
     this.core = new RouterCore({
       identity: {
         routerId: 'r1',
@@ -112,12 +118,24 @@
       clock: { monotonicMs: this.nowMs, wallMs: this.nowMs },
       parseConfiguration: () => ok({ ...document, [SectionName.Budgets]: [] }),
       // Probes are driven by their own tests.
-      options: { ...DEFAULT_CORE_OPTIONS, probeIntervalMs: 1_000_000 },
+      options: { ...DEFAULT_CORE_OPTIONS, probeIntervalMs },
     });
     this.core.board.configuration = configured ? activeConfiguration() : undefined;
     this.core.board.requests.money = this.fakeMoney();
   }
 
+  /** Adds engines like the first one. */
+  addEngines(...addresses: string[]): void {
+    const { configuration } = this.core.board;
+    const [first] = document.engines;
+    if (configuration === undefined || first === undefined) {
+      throw new Error('The bench has no engines.');
+    }
+    const added = addresses.map((address) => ({ ...first, address, engineId: address }));
+    const engines = [...configuration.document.engines, ...added];
+    this.core.board.configuration = { ...configuration, document: { ...configuration.document, engines } };
+  }
+
   /** The steps between are made as the shell makes them, because a longer gap counts as a pause. */
   advance(durationMs: number): void {
     for (const endMs = this.nowMs + durationMs; this.nowMs < endMs;) {
@@ -229,9 +247,15 @@
 
   private fakeMoney(): MoneyFunctions {
     const { ledger } = this;
+    const reserveFailure = (): ReserveFailure | undefined => this.reserveFailure;
+    const findings = (): RecordFindings => this.findings;
     const completeDelay = (): number => this.completeDelayMs;
     return {
       *reserve(context, { requestId, organisationId, amountMicros }) {
+        const failure = reserveFailure();
+        if (failure !== undefined) {
+          return err(failure);
+        }
         ledger.push(`reserve ${amountMicros}`);
         return ok({ requestId, organisationId, amountMicros, incarnationId: context.board.incarnationId });
       },
@@ -248,7 +272,7 @@
         ledger.push('release');
       },
       *findRecords() {
-        return { records: [], runningAddress: undefined };
+        return findings();
       },
     };
   }
--- a/packages/core/src/requests/classQueue.ts
+++ b/packages/core/src/requests/classQueue.ts
@@ -39,9 +39,11 @@
   }
 }
 
+/** The whole queue is as long as the longest bound of a model class; other classes do not wait here. */
 function totalLimit(context: CoreContext): number {
-  const classes = context.board.configuration?.document.classes ?? [];
-  return Math.max(0, ...classes.map((section) => section.maxQueued));
+  const { classes, rules } = context.board.configuration?.document ?? { classes: [], rules: [] };
+  const modelClasses = classes.filter(({ classId }) => rules.some((rule) => rule.classId === classId));
+  return Math.max(0, ...modelClasses.map((section) => section.maxQueued));
 }
 
 /** Takes the least urgent batch request out of the queue; false if only interactive ones wait. */
--- a/packages/core/src/requests/engineWork.ts
+++ b/packages/core/src/requests/engineWork.ts
@@ -198,7 +198,8 @@
     // The answer was billed, and its stream is no longer kept. Running it again would not be billed.
     return refused(RefusalReason.IdentityInUse);
   }
-  const isFree = end !== AttemptEnd.Refused;
+  // An attempt that reached no engine costs nothing; after one that did, a start is a retry.
+  const isFree = end !== AttemptEnd.Refused && !hasSentAttempt(run);
   if (state.startCount >= MAX_STARTS || (!isFree && !mayRetry(context, state))) {
     return refused(noEngineReason(run));
   }
@@ -236,9 +237,12 @@
   return true;
 }
 
+function hasSentAttempt(run: RunningRequest): boolean {
+  return run.attempts.some(({ foreign, state }) => !foreign && state === AttemptState.Sent);
+}
+
 function noEngineReason(run: RunningRequest): RefusalReason {
-  const wasSent = run.attempts.some(({ foreign, state }) => !foreign && state === AttemptState.Sent);
-  return wasSent || verdictOf(run.attempts) === Verdict.Ran
+  return hasSentAttempt(run) || verdictOf(run.attempts) === Verdict.Ran
     ? RefusalReason.UpstreamFailed
     : RefusalReason.NoUpstream;
 }
--- a/packages/core/src/requests/handleCallerRequest.ts
+++ b/packages/core/src/requests/handleCallerRequest.ts
@@ -11,6 +11,9 @@
 import { refuseExchange } from './refusal.ts';
 import { serveServiceCall } from './serviceCall.ts';
 
+/** Keys are kept in table rows and in memory, so their length is bounded. */
+const MAX_IDEMPOTENCY_KEY_LENGTH = 255;
+
 /** Serves one request of a caller from its arrival to its answer or refusal. */
 export function* handleCallerRequest(
   context: CoreContext,
@@ -36,6 +39,10 @@
     refuseExchange(context, { exchangeId, organisationId, reason: RefusalReason.Draining, requestId });
     return;
   }
+  if (requestId !== undefined && (requestId === '' || requestId.length > MAX_IDEMPOTENCY_KEY_LENGTH)) {
+    refuseExchange(context, { exchangeId, organisationId, reason: RefusalReason.MalformedRequest });
+    return;
+  }
   switch (request.kind) {
     case CallerRequestKind.ChatCompletion:
       yield* serveChat(context, admission.admitted, request);
--- a/packages/core/src/requests/price.ts
+++ b/packages/core/src/requests/price.ts
@@ -34,7 +34,8 @@
 
 /** The output limit of a request: the caller's wish within the rule's limit. */
 export function outputLimit(rule: ModelRule, requested: number | undefined): number {
-  return Math.max(1, Math.min(rule.maxOutputTokens, Math.floor(requested ?? rule.maxOutputTokens)));
+  const wanted = requested !== undefined && Number.isFinite(requested) ? requested : rule.maxOutputTokens;
+  return Math.max(1, Math.min(rule.maxOutputTokens, Math.floor(wanted)));
 }
 
 /** What the request costs at most; this amount is reserved. */
@@ -55,5 +56,7 @@
 ): number {
   const exactMicros =
     usage.promptTokens * rule.promptMicrosPerToken + usage.outputTokens * rule.outputMicrosPerToken;
-  return Math.max(0, Math.min(reservedMicros, Math.ceil(exactMicros)));
+  // Counts that are no numbers come from a faulty engine; the work ran all the same.
+  const usedMicros = Number.isFinite(exactMicros) ? Math.ceil(exactMicros) : reservedMicros;
+  return Math.max(0, Math.min(reservedMicros, usedMicros));
 }
--- a/packages/core/src/requests/serviceCall.ts
+++ b/packages/core/src/requests/serviceCall.ts
@@ -18,7 +18,7 @@
 import { emitAnswered } from './requestMetrics.ts';
 import { reserveOrRefuse } from './reserveOrRefuse.ts';
 import { takeRetry } from './retryBudget.ts';
-import { endRun, learnFromPeers, startRun } from './running.ts';
+import { endRun, findAnswered, learnFromPeers, rememberAnswered, startRun } from './running.ts';
 import { runServiceAttempt } from './serviceAttempt.ts';
 import type { RunningRequest } from './types.ts';
 import { AttemptState, verdictOf } from './verdict.ts';
@@ -63,7 +63,8 @@
   const { requestId } = identity;
   const { classId } = operation;
   const running = context.board.requests.running.get(runningKey(organisationId, requestId));
-  if (running !== undefined && running.bodyHash !== identity.bodyHash) {
+  const known = running ?? findAnswered(context, organisationId, requestId);
+  if (known !== undefined && known.bodyHash !== identity.bodyHash) {
     const reason = RefusalReason.IdentityInUse;
     refuseExchange(context, { exchangeId, organisationId, classId, requestId, reason });
     return;
@@ -244,6 +245,7 @@
   }
   switch (end.kind) {
     case 'answered':
+      rememberAnswered(context, run, '');
       sendOutcome(context, run, end.outcome);
       return;
     case 'refused':
--- /dev/null
+++ b/packages/core/src/routing/__tests__/chooseEngine.test.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { EngineCandidate, EngineChoiceRequest } from '../chooseEngine.ts';
+import { EngineChoiceKind, chooseEngine } from '../chooseEngine.ts';
+import { PrefixMemory } from '../prefixMemory.ts';
+import { prefixHashes } from '../prefixHashes.ts';
+import type { UpstreamInfo } from '../types.ts';
+
+function candidate(
+  address: string,
+  change: Partial<UpstreamInfo> = {},
+  zone = 'near-a',
+  region = 'near',
+): EngineCandidate {
+  const engine = {
+    engineId: address,
+    address,
+    region,
+    availabilityZone: zone,
+    models: ['small'],
+    maxConcurrent: 8,
+    honoursFencing: true,
+  };
+  const info = {
+    address,
+    ownInFlightCount: 0,
+    load: undefined,
+    loadReadAtMs: 0,
+    leaving: false,
+    leavingSeenAtMs: -Infinity,
+    consecutiveFailures: 0,
+    ejectedUntilMs: 0,
+    prefixes: new PrefixMemory(),
+    ...change,
+  };
+  return { engine, info };
+}
+
+function choose(
+  candidates: readonly EngineCandidate[],
+  change: Partial<EngineChoiceRequest> = {},
+): string | EngineChoiceKind {
+  const choice = chooseEngine({
+    candidates,
+    region: 'near',
+    availabilityZone: 'near-a',
+    prefixHashes: [],
+    excludedAddresses: new Set(),
+    nowMs: 1_000,
+    farEngineCostMs: 200,
+    random: 0,
+    ...change,
+  });
+  return choice.kind === EngineChoiceKind.Chosen ? choice.candidate.engine.address : choice.kind;
+}
+
+test('leaving, ejected and failed engines get no work even if they are idle', () => {
+  const busy = candidate('ok', { ownInFlightCount: 5 });
+  const unusable = [candidate('leaving', { leaving: true }), candidate('ejected', { ejectedUntilMs: 2_000 })];
+  const excludedAddresses = new Set(['failed']);
+  assert.equal(choose([...unusable, candidate('failed'), busy], { excludedAddresses }), 'ok');
+  assert.equal(choose(unusable), EngineChoiceKind.NoneUsable);
+  assert.equal(choose([candidate('full', { ownInFlightCount: 8 })]), EngineChoiceKind.AllBusy);
+});
+
+test('the best two share the work, so that routers with one stale report do not all choose one engine', () => {
+  const candidates = [candidate('a'), candidate('b'), candidate('c', { ownInFlightCount: 4 })];
+  assert.equal(choose(candidates, { random: 0.1 }), 'a');
+  assert.equal(choose(candidates, { random: 0.9 }), 'b');
+});
+
+test('an old load report weighs less than a fresh one', () => {
+  const load = { runningCount: 6, queuedCount: 0, leaving: false, ageMs: 0, cachedPrefixHashes: [] };
+  const fresh = candidate('fresh', { load, loadReadAtMs: 1_000 });
+  const old = candidate('old', { load: { ...load, ageMs: 8_000 }, loadReadAtMs: 1_000 });
+  assert.equal(choose([fresh, old]), 'old');
+});
+
+test('the zone comes first, then the region, and the far region only when waiting here costs more', () => {
+  const zone = candidate('zone', { ownInFlightCount: 1 });
+  const region = candidate('region', {}, 'near-b');
+  const far = candidate('far', {}, 'far-a', 'far');
+  assert.equal(choose([far, region, zone], { random: 0.9 }), 'zone');
+  assert.equal(choose([far, region]), 'region');
+  const loaded = candidate('loaded', { ownInFlightCount: 7 });
+  assert.equal(choose([far, loaded], { farEngineCostMs: 50 }), 'far');
+});
+
+test('a cached prompt prefix attracts its request, and prompts that differ early do not match', () => {
+  const shared = 'lesson plan '.repeat(200);
+  const known = prefixHashes('small', [{ role: 'system', content: shared }]);
+  const prefixes = new PrefixMemory();
+  prefixes.remember(known);
+  const warm = candidate('warm', { prefixes, ownInFlightCount: 1 });
+  const longer = prefixHashes('small', [{ role: 'system', content: `${shared}${'x'.repeat(300)}` }]);
+  assert.ok(longer.length > known.length);
+  assert.equal(choose([candidate('cold'), warm], { prefixHashes: longer }), 'warm');
+  const different = prefixHashes('small', [{ role: 'system', content: `y${shared}` }]);
+  assert.equal(choose([candidate('cold'), warm], { prefixHashes: different }), 'cold');
+});
+
+test('the prefix memory is bounded and keeps the recent prefixes', () => {
+  const prefixes = new PrefixMemory();
+  for (let index = 0; index < 10_000; index += 1) {
+    prefixes.remember([`hash-${index}`]);
+  }
+  assert.equal(prefixes.size, 4096);
+  assert.equal(prefixes.knownBlockCount(['hash-9999']), 1);
+  assert.equal(prefixes.knownBlockCount(['hash-0']), 0);
+});
--- /dev/null
+++ b/packages/core/src/routing/__tests__/probeController.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ENGINES, RequestBench } from '../../requests/__tests__/requestBench.ts';
+import { EffectKind } from '../../types/effects.ts';
+import { EventKind } from '../../types/events.ts';
+import { VmRole, VmState } from '../../types/membership.ts';
+
+const [ADDRESS = ''] = ENGINES;
+const LOAD = { runningCount: 0, queuedCount: 0, leaving: false, ageMs: 0, cachedPrefixHashes: [] };
+
+function probe(bench: RequestBench, change: Partial<typeof LOAD>): boolean | undefined {
+  bench.advance(500);
+  const { callId } =
+    bench.ofKind(EffectKind.UpstreamProbe).findLast((effect) => effect.address === ADDRESS) ?? {};
+  assert.ok(callId !== undefined);
+  bench.send({ kind: EventKind.UpstreamProbed, callId, address: ADDRESS, load: { ...LOAD, ...change } });
+  return bench.core.board.routing.upstreams.get(ADDRESS)?.leaving;
+}
+
+test('an engine is leaving by its own report, and only a younger report takes that back', () => {
+  const bench = new RequestBench(true, 500);
+  assert.equal(probe(bench, {}), false);
+  assert.equal(probe(bench, { leaving: true }), true);
+  assert.equal(probe(bench, { ageMs: 5_000 }), true);
+  assert.equal(probe(bench, {}), false);
+});
+
+test('an engine is leaving while the membership list says so, whatever it reports', () => {
+  const bench = new RequestBench(true, 500);
+  const vm = { vmId: 'vm-e', address: ADDRESS, role: VmRole.Engine, state: VmState.Leaving };
+  const row = { ...vm, region: 'near', availabilityZone: 'near-a' };
+  bench.core.board.membership.vms = new Map([['vm-e', row]]);
+  assert.equal(probe(bench, {}), true);
+  bench.chat();
+  assert.notEqual(bench.open(0).address, ADDRESS);
+});
--- a/packages/core/src/routing/probeController.ts
+++ b/packages/core/src/routing/probeController.ts
@@ -8,12 +8,19 @@
 import { EffectKind } from '../types/effects.ts';
 import type { EventKind } from '../types/events.ts';
 import type { EngineLoad } from '../types/requests.ts';
-import { isListedLeaving, markLeaving, markListedLeaving, upstreamInfo } from './upstreams.ts';
+import {
+  forgetRemovedUpstreams,
+  isListedLeaving,
+  markLeaving,
+  markListedLeaving,
+  upstreamInfo,
+} from './upstreams.ts';
 
 /** Reads the load of every configured engine at an interval. */
 export function* probeController(context: CoreContext): Task<void> {
   for (;;) {
     markListedLeaving(context);
+    forgetRemovedUpstreams(context);
     for (const engine of context.board.configuration?.document.engines ?? []) {
       context.spawn('probeEngine', probeEngine(context, engine.address));
     }
--- a/packages/core/src/routing/upstreams.ts
+++ b/packages/core/src/routing/upstreams.ts
@@ -1,5 +1,6 @@
 import type { CoreContext } from '../context.ts';
-import { VmState } from '../types/membership.ts';
+import { ServiceKind } from '../types/configuration.ts';
+import { VmRole, VmState } from '../types/membership.ts';
 import { PrefixMemory } from './prefixMemory.ts';
 import type { UpstreamInfo } from './types.ts';
 
@@ -24,11 +25,37 @@
   return info;
 }
 
-/** Applies the membership list: a listed upstream that leaves gets no new work. */
+/**
+ * Applies the membership list: a listed upstream that leaves gets no new work. Plain services are not probed, so
+ * the list alone also takes their sign back, when a new VM has the address.
+ */
 export function markListedLeaving(context: CoreContext): void {
   for (const vm of context.board.membership.vms.values()) {
+    if (vm.role === VmRole.Router) {
+      continue;
+    }
+    const info = upstreamInfo(context, vm.address);
     if (vm.state === VmState.Leaving) {
-      markLeaving(context, upstreamInfo(context, vm.address));
+      markLeaving(context, info);
+    } else if (vm.role === VmRole.Service) {
+      info.leaving = false;
+    }
+  }
+}
+
+/** Forgets upstreams that the configuration no longer names, which bounds the memory over many replacements. */
+export function forgetRemovedUpstreams(context: CoreContext): void {
+  const document = context.board.configuration?.document;
+  if (document === undefined) {
+    return;
+  }
+  const serviceAddresses = document.services.flatMap((service) =>
+    service.kind === ServiceKind.Plain ? service.addresses : [],
+  );
+  const named = new Set([...document.engines.map(({ address }) => address), ...serviceAddresses]);
+  for (const info of context.board.routing.upstreams.values()) {
+    if (!named.has(info.address) && info.ownInFlightCount === 0) {
+      context.board.routing.upstreams.delete(info.address);
     }
   }
 }
