--- a/packages/core/src/requests/__tests__/serviceCall.test.ts
+++ b/packages/core/src/requests/__tests__/serviceCall.test.ts
@@ -150,3 +150,33 @@
     assert.notEqual(failing(), address);
   }
 });
+
+test('a service that honours the key gets a lost call again with the same key and without a claim', () => {
+  const bench = new RequestBench();
+  const { configuration } = bench.core.board;
+  const service = configuration?.plainServiceById.get('orders');
+  assert.ok(configuration !== undefined && service !== undefined);
+  const plainServiceById = new Map([['orders', { ...service, honoursKey: true }]]);
+  bench.core.board.configuration = { ...configuration, plainServiceById };
+  const caller = bench.call('POST', '/orders/1', { idempotencyKey: 'k' });
+  bench.fail(bench.open(0).attemptId, true);
+  assert.equal(bench.open(1).request.requestId, bench.open(0).request.requestId);
+  bench.answer(bench.open(1).attemptId);
+  assert.equal(bench.received(caller), 'done');
+  assert.equal(bench.ofKind(EffectKind.TableCommit).length, 0);
+});
+
+test('an answer that is too long to record is relayed, and a retry learns that the call ran', () => {
+  const bench = new RequestBench();
+  const caller = bench.call('POST', '/orders/1');
+  bench.tableReply(bench.lastCommit().callId, COMMITTED);
+  bench.answer(bench.open(0).attemptId, 200, 'x'.repeat(70_000));
+  assert.equal(bench.received(caller).length, 70_000);
+  showClaim(bench, {});
+  const done = lastWritten(bench);
+  assert.equal(done.outcome, null);
+  const retry = bench.call('POST', '/orders/1', { idempotencyKey: 'k' });
+  showClaim(bench, {}, done);
+  assert.equal(bench.problem(retry)?.verdict, Verdict.Ran);
+  assert.equal(bench.opens.length, 1);
+});
--- a/packages/core/src/requests/claim.ts
+++ b/packages/core/src/requests/claim.ts
@@ -25,6 +25,7 @@
   readonly claimantId: string;
   readonly state: ClaimState;
   readonly bodyHash: string;
+  /** null until the call is done, and for an answer that is too long to record. */
   readonly outcome: CallOutcome | null;
 }
 
@@ -37,6 +38,9 @@
 /** Repeats of a claim whose answer was lost; each waits for the table's timeout. */
 const MAX_CLAIM_COMMITS = 3;
 
+/** Longer bodies are not recorded, because claim rows are kept and read whole. */
+const MAX_RECORDED_CHARACTERS = 65_536;
+
 const FIRST_RETRY_DELAY_MS = 500;
 const MAX_RETRY_DELAY_MS = 10_000;
 
@@ -111,7 +115,8 @@
 
 /** Records the outcome, in the background until the table has it. */
 export function recordOutcome(context: CoreContext, claim: Claim, outcome: CallOutcome): void {
-  const value = claimValue(claim, ClaimState.Done, outcome);
+  const recorded = outcome.body.length <= MAX_RECORDED_CHARACTERS ? outcome : null;
+  const value = claimValue(claim, ClaimState.Done, recorded);
   context.spawn('recordOutcome', replaceClaim(context, claim, value));
 }
 
--- a/packages/core/src/requests/serviceCall.ts
+++ b/packages/core/src/requests/serviceCall.ts
@@ -12,7 +12,7 @@
 import { classOf } from './admission.ts';
 import { attachCaller, dropDepartedCallers, startCaller } from './callers.ts';
 import type { CallOutcome, Claim, ClaimRow } from './claim.ts';
-import { claimKey, lookUpClaim, recordOutcome, releaseClaim, takeClaim } from './claim.ts';
+import { ClaimState, claimKey, lookUpClaim, recordOutcome, releaseClaim, takeClaim } from './claim.ts';
 import { identifyRequest, runningKey } from './identity.ts';
 import { refuseExchange, refuseRun } from './refusal.ts';
 import { emitAnswered } from './requestMetrics.ts';
@@ -148,8 +148,10 @@
     sendOutcome(context, run, row.outcome);
     return;
   }
-  run.attempts.push({ attemptId: row.claimantId, foreign: true, state: AttemptState.Sent });
-  refuseRun(context, run, RefusalReason.UpstreamFailed);
+  const isDone = row.state === ClaimState.Done;
+  const state = isDone ? AttemptState.Ran : AttemptState.Sent;
+  run.attempts.push({ attemptId: row.claimantId, foreign: true, state });
+  refuseRun(context, run, isDone ? RefusalReason.IdentityInUse : RefusalReason.UpstreamFailed);
 }
 
 /** Runs a non-idempotent call under its claim; a claim without a dispatch is removed again. */
--- a/packages/core/src/routing/__tests__/probeController.test.ts
+++ b/packages/core/src/routing/__tests__/probeController.test.ts
@@ -34,3 +34,12 @@
   bench.chat();
   assert.notEqual(bench.open(0).address, ADDRESS);
 });
+
+test('many engines are probed in turns, so that probes stay within the bytes for control', () => {
+  const bench = new RequestBench(true, 500);
+  bench.addEngines(...Array.from({ length: 28 }, (_, index) => `127.1.1.${index + 1}:8400`));
+  bench.advance(500);
+  assert.equal(bench.ofKind(EffectKind.UpstreamProbe).length, 12);
+  bench.advance(1_000);
+  assert.equal(new Set(bench.ofKind(EffectKind.UpstreamProbe).map(({ address }) => address)).size, 30);
+});
--- a/packages/core/src/routing/probeController.ts
+++ b/packages/core/src/routing/probeController.ts
@@ -16,13 +16,24 @@
   upstreamInfo,
 } from './upstreams.ts';
 
-/** Reads the load of every configured engine at an interval. */
+/**
+ * Probes for one interval. At two intervals a second and about 300 bytes for a probe this is 7 KB a second, within
+ * the 12 KB that a node may spend on control; a fleet of a dozen engines is read whole each time.
+ */
+const MAX_PROBES_PER_INTERVAL = 12;
+
+/** Reads the load of the configured engines at an interval, in turns if there are many. */
 export function* probeController(context: CoreContext): Task<void> {
-  for (;;) {
+  for (let firstIndex = 0; ; firstIndex += MAX_PROBES_PER_INTERVAL) {
     markListedLeaving(context);
     forgetRemovedUpstreams(context);
-    for (const engine of context.board.configuration?.document.engines ?? []) {
-      context.spawn('probeEngine', probeEngine(context, engine.address));
+    const engines = context.board.configuration?.document.engines ?? [];
+    const probeCount = Math.min(engines.length, MAX_PROBES_PER_INTERVAL);
+    for (let offset = 0; offset < probeCount; offset += 1) {
+      const engine = engines[(firstIndex + offset) % engines.length];
+      if (engine !== undefined) {
+        context.spawn('probeEngine', probeEngine(context, engine.address));
+      }
     }
     yield* sleepUntil(context.clock.monotonicMs + context.options.probeIntervalMs);
   }
