--- a/packages/core/src/requests/serviceCall.ts
+++ b/packages/core/src/requests/serviceCall.ts
@@ -12,13 +12,13 @@
 import { classOf } from './admission.ts';
 import { attachCaller, dropDepartedCallers, startCaller } from './callers.ts';
 import type { CallOutcome, Claim, ClaimRow } from './claim.ts';
-import { claimKey, lookUpClaim, recordOutcome, releaseClaim, takeClaim } from './claim.ts';
+import { ClaimState, claimKey, lookUpClaim, recordOutcome, releaseClaim, takeClaim } from './claim.ts';
 import { identifyRequest, runningKey } from './identity.ts';
 import { refuseExchange, refuseRun } from './refusal.ts';
 import { emitAnswered } from './requestMetrics.ts';
 import { reserveOrRefuse } from './reserveOrRefuse.ts';
 import { takeRetry } from './retryBudget.ts';
-import { endRun, learnFromPeers, startRun } from './running.ts';
+import { endRun, findAnswered, learnFromPeers, rememberAnswered, startRun } from './running.ts';
 import { runServiceAttempt } from './serviceAttempt.ts';
 import type { RunningRequest } from './types.ts';
 import { AttemptState, verdictOf } from './verdict.ts';
@@ -63,7 +63,8 @@
   const { requestId } = identity;
   const { classId } = operation;
   const running = context.board.requests.running.get(runningKey(organisationId, requestId));
-  if (running !== undefined && running.bodyHash !== identity.bodyHash) {
+  const known = running ?? findAnswered(context, organisationId, requestId);
+  if (known !== undefined && known.bodyHash !== identity.bodyHash) {
     const reason = RefusalReason.IdentityInUse;
     refuseExchange(context, { exchangeId, organisationId, classId, requestId, reason });
     return;
@@ -147,8 +148,10 @@
     sendOutcome(context, run, row.outcome);
     return;
   }
-  run.attempts.push({ attemptId: row.claimantId, foreign: true, state: AttemptState.Sent });
-  refuseRun(context, run, RefusalReason.UpstreamFailed);
+  const isDone = row.state === ClaimState.Done;
+  const state = isDone ? AttemptState.Ran : AttemptState.Sent;
+  run.attempts.push({ attemptId: row.claimantId, foreign: true, state });
+  refuseRun(context, run, isDone ? RefusalReason.IdentityInUse : RefusalReason.UpstreamFailed);
 }
 
 /** Runs a non-idempotent call under its claim; a claim without a dispatch is removed again. */
@@ -244,6 +247,7 @@
   }
   switch (end.kind) {
     case 'answered':
+      rememberAnswered(context, run, '');
       sendOutcome(context, run, end.outcome);
       return;
     case 'refused':
