--- a/packages/core/src/money/__tests__/fleet.ts
+++ b/packages/core/src/money/__tests__/fleet.ts
@@ -1,4 +1,5 @@
 import { ok } from 'neverthrow';
+import type { RouterIdentity } from '../../blackboard.ts';
 import type { CoreContext } from '../../context.ts';
 import { RouterCore } from '../../routerCore.ts';
 import { seededRandom } from '../../random.ts';
@@ -9,8 +10,12 @@
 import { EventKind } from '../../types/events.ts';
 import type { CoreOptions } from '../../types/options.ts';
 import type { ConfigurationDocument } from '../../types/configuration.ts';
+import type { VmRow } from '../../types/membership.ts';
+import { VmRole, VmState } from '../../types/membership.ts';
 import { RouterState } from '../../types/messages.ts';
 import { TableOutcomeKind } from '../../types/table.ts';
+import { reserve } from '../reserve.ts';
+import type { Reservation } from '../types.ts';
 import { TableFake } from './tableFake.ts';
 
 export const ORGANISATION = 'karibu-school';
@@ -26,10 +31,16 @@
   readonly logs: string[];
 }
 
+function vmRow(identity: RouterIdentity): VmRow {
+  const { vmId, region, availabilityZone, peerAddress } = identity;
+  return { vmId, region, availabilityZone, address: peerAddress, role: VmRole.Router, state: VmState.Live };
+}
+
 /** Several cores on one table and one clock. Replies and messages arrive with the next step. */
 export class Fleet {
   readonly table = new TableFake();
   readonly nodes: Node[] = [];
+  readonly unlisted = new Set<string>();
   nowMs = 0;
   storeDown = false;
   /** Decides whether the answer of a commit that took effect is lost. */
@@ -101,6 +112,7 @@
   step(): void {
     for (const node of this.nodes.filter((each) => !each.paused && !each.dead)) {
       this.hearPeers(node);
+      this.readList(node);
       const events = node.inbox.splice(0);
       for (const effect of node.core.step(events, this.clock).effects) {
         this.execute(node, effect);
@@ -123,6 +135,17 @@
     }
   }
 
+  private readList(node: Node): void {
+    const { membership } = node.core.board;
+    const identities = this.nodes.map((each) => each.core.board.identity);
+    const listed = identities.filter(({ vmId }) => !this.unlisted.has(vmId));
+    membership.vms = new Map(listed.map((identity) => [identity.vmId, vmRow(identity)]));
+    membership.listReadAtMs = this.nowMs;
+    for (const vmId of this.unlisted) {
+      membership.absentSinceMs.set(vmId, membership.absentSinceMs.get(vmId) ?? this.nowMs);
+    }
+  }
+
   private execute(node: Node, effect: Effect): void {
     if (effect.kind === EffectKind.PeerSend) {
       const { identity, incarnationId } = node.core.board;
@@ -165,3 +188,37 @@
     }
   }
 }
+
+const TOP_UP = { topUpId: 'first', amountMicros: 10_000 };
+
+export function fleetOf(...names: string[]): { fleet: Fleet; nodes: Node[] } {
+  const fleet = new Fleet();
+  const nodes = names.map((name) => fleet.add(name));
+  fleet.configure([TOP_UP]);
+  fleet.run(50);
+  return { fleet, nodes };
+}
+
+export function reserveOn(
+  fleet: Fleet,
+  node: Node,
+  requestId: string,
+  amountMicros: number,
+): Reservation | undefined {
+  const request = { requestId, organisationId: ORGANISATION, amountMicros, deadlineMs: fleet.nowMs + 400 };
+  const place = fleet.start(node, reserve(node.context, request));
+  fleet.run(410);
+  return place.result?.isOk() === true ? place.result.value : undefined;
+}
+
+export const budgetOf = (fleet: Fleet): ReturnType<Fleet['table']['amounts']> =>
+  fleet.table.amounts(`budget/${ORGANISATION}`);
+
+export function routerState(fleet: Fleet, incarnationId: string): string {
+  return (fleet.table.rows.get(`router/${incarnationId}`)?.value as { state: string }).state;
+}
+
+/** Takes a node's VM off the membership list. */
+export function unlist(fleet: Fleet, node: Node): void {
+  fleet.unlisted.add(node.core.board.identity.vmId);
+}
--- a/packages/core/src/money/__tests__/money.test.ts
+++ b/packages/core/src/money/__tests__/money.test.ts
@@ -2,34 +2,8 @@
 import { test } from 'node:test';
 import { completeReservation, releaseReservation } from '../reservations.ts';
 import { reserve } from '../reserve.ts';
-import type { Reservation } from '../types.ts';
 import type { Node } from './fleet.ts';
-import { Fleet, ORGANISATION } from './fleet.ts';
-
-const TOP_UP = { topUpId: 'first', amountMicros: 10_000 };
-
-function fleetOf(...names: string[]): { fleet: Fleet; nodes: Node[] } {
-  const fleet = new Fleet();
-  const nodes = names.map((name) => fleet.add(name));
-  fleet.configure([TOP_UP]);
-  fleet.run(50);
-  return { fleet, nodes };
-}
-
-function reserveOn(
-  fleet: Fleet,
-  node: Node,
-  requestId: string,
-  amountMicros: number,
-): Reservation | undefined {
-  const request = { requestId, organisationId: ORGANISATION, amountMicros, deadlineMs: fleet.nowMs + 400 };
-  const place = fleet.start(node, reserve(node.context, request));
-  fleet.run(410);
-  return place.result?.isOk() === true ? place.result.value : undefined;
-}
-
-const budgetOf = (fleet: Fleet): ReturnType<Fleet['table']['amounts']> =>
-  fleet.table.amounts(`budget/${ORGANISATION}`);
+import { budgetOf, fleetOf, ORGANISATION, reserveOn } from './fleet.ts';
 
 test('a request is reserved from a draw, settled once and its rest released', () => {
   const { fleet, nodes } = fleetOf('a');
--- a/packages/core/src/money/checkForPause.ts
+++ b/packages/core/src/money/checkForPause.ts
@@ -13,6 +13,9 @@
   }
   context.board.confirmation = Confirmation.Unconfirmed;
   context.board.money.pauseCount += 1;
+  context.board.money.pausedAtMs = context.clock.monotonicMs;
+  // While it was paused the process heard nobody, so it may not judge who was silent.
+  context.board.money.suspectSinceMs.clear();
   context.board.money.confirmRequests.push(undefined);
   logWarn(context, 'The process was paused; dispatch stops until the store confirms this incarnation.', {
     pausedMs,
--- a/packages/core/src/money/createMoneyState.ts
+++ b/packages/core/src/money/createMoneyState.ts
@@ -15,10 +15,12 @@
     queries: new Map(),
     resolvedAtMs: new Map(),
     orphanKeys: new Set(),
+    suspectSinceMs: new Map(),
     reclaiming: new Set(),
     ownIncarnationIds: new Set([incarnationId]),
     registeredIncarnationId: undefined,
     pauseCount: 0,
+    pausedAtMs: -Infinity,
     confirmRequests: new Channel(),
     returning: false,
   };
--- /dev/null
+++ b/packages/core/src/money/heldController.ts
@@ -0,0 +1,56 @@
+import type { CoreContext } from '../context.ts';
+import type { Task } from '../scheduler/task.ts';
+import { sleepUntil } from '../scheduler/task.ts';
+import { commitTransaction, readRows, scanRows } from '../table/callTable.ts';
+import { TableOutcomeKind } from '../types/table.ts';
+import { auditKey, billPrefix, budgetKey } from './keys.ts';
+import { LedgerPage } from './ledgerPage.ts';
+import { ledgerOf } from './shares.ts';
+
+/** Looks per held limit: money is released at most this fraction of the limit late. */
+const CHECKS_PER_LIMIT = 20;
+
+/** Releases held amounts without evidence after the limit. Billing a request ends its hold in `settleRecord`. */
+export function* heldController(context: CoreContext): Task<void> {
+  for (;;) {
+    yield* sleepUntil(context.clock.monotonicMs + context.options.heldLimitMs / CHECKS_PER_LIMIT);
+    for (const [organisationId, ledger] of context.board.money.organisations) {
+      if (ledger.heldMicros > 0) {
+        yield* releaseHeld(context, organisationId);
+      }
+    }
+  }
+}
+
+/** A conflict or a lost answer is left to the next look, which reads the rows again. */
+function* releaseHeld(context: CoreContext, organisationId: string): Task<void> {
+  const billRows = yield* scanRows(context, billPrefix(organisationId));
+  if (billRows === undefined) {
+    return;
+  }
+  const keys = [budgetKey(organisationId), ...billRows.keys()];
+  const rows = yield* readRows(context, keys);
+  if (rows === undefined) {
+    return;
+  }
+  const page = new LedgerPage(organisationId, keys, rows);
+  for (const bill of page.existingBills().values()) {
+    const expired = bill.held.filter(
+      (entry) => context.clock.wallMs - entry.atMs >= context.options.heldLimitMs,
+    );
+    bill.held = bill.held.filter((entry) => !expired.includes(entry));
+    for (const entry of expired) {
+      page.changeHeld(-entry.amountMicros);
+      page.touchBill(entry.requestId);
+      const id = `held-${organisationId}-${entry.incarnationId}-${entry.requestId}`;
+      page.addWrite(auditKey(context.clock.wallMs, id), { kind: 'heldReleased', organisationId, ...entry });
+    }
+  }
+  if (page.changed) {
+    const outcome = yield* commitTransaction(context, page.transaction());
+    if (outcome.kind !== TableOutcomeKind.Committed) {
+      return;
+    }
+  }
+  ledgerOf(context, organisationId).heldMicros = page.budget.heldMicros;
+}
--- a/packages/core/src/money/ledgerPage.ts
+++ b/packages/core/src/money/ledgerPage.ts
@@ -1,7 +1,7 @@
 import type { JsonValue, RowCheck, RowWrite, TableRow, TableTransaction } from '../types/table.ts';
 import { ABSENT_ROW_VERSION } from '../types/table.ts';
-import { billKey, budgetKey, shareKey } from './keys.ts';
-import type { BillRow, BudgetRow, ShareRow } from './rows.ts';
+import { billKey, billPrefix, budgetKey, shareKey } from './keys.ts';
+import type { BillRow, BudgetRow, HeldEntry, ShareRow } from './rows.ts';
 import {
   decodeBill,
   decodeBudget,
@@ -93,11 +93,28 @@
     this.touch(budgetKey(this.organisationId));
   }
 
+  /** Moves money of a share to the held amount, for a request that may still have run. */
+  hold(incarnationId: string, entry: HeldEntry): void {
+    this.giveBack(incarnationId, entry.amountMicros);
+    this.changeHeld(entry.amountMicros);
+    this.bill(entry.requestId).held.push(entry);
+    this.touchBill(entry.requestId);
+  }
+
   changeHeld(differenceMicros: number): void {
     this.budget.heldMicros += differenceMicros;
     this.touch(budgetKey(this.organisationId));
   }
 
+  /** Bill rows of the page that exist, by key. */
+  existingBills(): ReadonlyMap<string, BillRow> {
+    const prefix = billPrefix(this.organisationId);
+    for (const key of this.keys.filter((each) => each.startsWith(prefix))) {
+      this.load(this.bills, key, decodeBill);
+    }
+    return this.bills;
+  }
+
   touchBill(requestId: string): void {
     this.touch(billKey(this.organisationId, requestId));
   }
--- a/packages/core/src/money/moneyController.ts
+++ b/packages/core/src/money/moneyController.ts
@@ -1,13 +1,12 @@
 import type { CoreContext } from '../context.ts';
-import { hash32 } from '../hash.ts';
-import { liveRegionPeers } from '../membership/livePeers.ts';
 import type { Task } from '../scheduler/task.ts';
 import { receive } from '../scheduler/task.ts';
 import { resendCopies } from './copies.ts';
 import { returnableMicros } from './planShare.ts';
-import { settleableRecords } from './settleableRecords.ts';
+import { allSettleableRecords } from './settleableRecords.ts';
 import { availableMicros, ledgerOf, shareTargetMicros, updateDemand } from './shares.ts';
 import { syncOrganisation } from './syncOrganisation.ts';
+import { TopUpWatch } from './topUpWatch.ts';
 
 /** A share below this part of its target is refilled before a request finds it short. */
 const LOW_WATER_FRACTION = 0.5;
@@ -15,6 +14,7 @@
 /** Draws when a reservation asks for it, and looks after all shares and records at an interval. */
 export function* moneyController(context: CoreContext): Task<void> {
   const { drawRequests } = context.board.money;
+  const topUps = new TopUpWatch();
   let checkedAtMs = context.clock.monotonicMs;
   for (;;) {
     const nextCheckMs = checkedAtMs + context.options.shareCheckIntervalMs;
@@ -24,6 +24,9 @@
     }
     if (context.clock.monotonicMs >= nextCheckMs) {
       checkAll(context, context.clock.monotonicMs - checkedAtMs);
+      for (const dueId of topUps.due(context)) {
+        startSync(context, dueId);
+      }
       checkedAtMs = context.clock.monotonicMs;
     }
   }
@@ -46,36 +49,28 @@
     updateDemand(context, share, elapsedMs);
   }
   resendCopies(context);
-  for (const organisationId of knownOrganisations(context)) {
-    if (needsSync(context, organisationId)) {
+  const usedCounts = countUsed(context);
+  for (const organisationId of new Set([...context.board.money.shares.keys(), ...usedCounts.keys()])) {
+    const settlementDue = isSettlementDue(context, organisationId, usedCounts.get(organisationId) ?? 0);
+    if (settlementDue || hasShareWork(context, organisationId)) {
       startSync(context, organisationId);
     }
   }
 }
 
-function knownOrganisations(context: CoreContext): Set<string> {
-  const { money, configuration } = context.board;
-  const records = [...money.ownRecords.values(), ...[...money.copies.values()].map((copy) => copy.record)];
-  const budgets = configuration?.document.budgets ?? [];
-  return new Set([...money.shares.keys(), ...[...records, ...budgets].map((item) => item.organisationId)]);
-}
-
-function needsSync(context: CoreContext, organisationId: string): boolean {
-  return (
-    hasSettlementDue(context, organisationId) ||
-    hasShareWork(context, organisationId) ||
-    hasTopUpDue(context, organisationId)
-  );
+/** Records to settle by organisation, counted in one pass over all records. */
+function countUsed(context: CoreContext): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const { organisationId } of allSettleableRecords(context)) {
+    counts.set(organisationId, (counts.get(organisationId) ?? 0) + 1);
+  }
+  return counts;
 }
 
-function hasSettlementDue(context: CoreContext, organisationId: string): boolean {
-  const ledger = ledgerOf(context, organisationId);
-  const recordCount = settleableRecords(context, organisationId).length;
-  if (recordCount === 0) {
-    return false;
-  }
-  const due = context.clock.monotonicMs - ledger.lastSettleAtMs >= context.options.settleIntervalMs;
-  return due || recordCount >= context.options.settlePageSize;
+function isSettlementDue(context: CoreContext, organisationId: string, recordCount: number): boolean {
+  const { lastSettleAtMs } = ledgerOf(context, organisationId);
+  const intervalPassed = context.clock.monotonicMs - lastSettleAtMs >= context.options.settleIntervalMs;
+  return recordCount >= context.options.settlePageSize || (recordCount > 0 && intervalPassed);
 }
 
 function hasShareWork(context: CoreContext, organisationId: string): boolean {
@@ -85,33 +80,9 @@
   }
   const waiting = (context.board.money.waiters.get(organisationId)?.size ?? 0) > 0;
   const low = availableMicros(share) < LOW_WATER_FRACTION * shareTargetMicros(context, share);
-  const exhausted =
-    ledgerOf(context, organisationId).reachable && knownRemainder(context, organisationId) <= 0;
+  const ledger = ledgerOf(context, organisationId);
+  const exhausted = ledger.reachable && ledger.freeMicros <= 0;
   return (
     waiting || (low && !exhausted) || share.pendingReturnMicros > 0 || returnableMicros(context, share) > 0
   );
 }
-
-const knownRemainder = (context: CoreContext, organisationId: string): number =>
-  ledgerOf(context, organisationId).freeMicros;
-
-/**
- * One router of the region applies a new top-up at once; the others apply it with their next draw if it is still
- * missing. Otherwise every router would write every changed budget.
- */
-function hasTopUpDue(context: CoreContext, organisationId: string): boolean {
-  const { configuration, identity } = context.board;
-  const ledger = ledgerOf(context, organisationId);
-  const budgets = configuration?.document.budgets ?? [];
-  const missing = budgets.some(
-    (budget) =>
-      budget.organisationId === organisationId &&
-      budget.topUps.some((topUp) => !ledger.appliedTopUpIds.has(topUp.topUpId)),
-  );
-  if (!missing) {
-    return false;
-  }
-  const weight = (address: string): number => hash32(`${organisationId}|${address}`);
-  const ownWeight = weight(identity.peerAddress);
-  return liveRegionPeers(context).every((peer) => weight(peer.sender.peerAddress) <= ownWeight);
-}
--- /dev/null
+++ b/packages/core/src/money/orphanController.ts
@@ -0,0 +1,102 @@
+import type { CoreContext } from '../context.ts';
+import type { Task } from '../scheduler/task.ts';
+import { sleepUntil } from '../scheduler/task.ts';
+import { readRows } from '../table/callTable.ts';
+import { EffectKind } from '../types/effects.ts';
+import { PeerMessageKind, RecordState } from '../types/messages.ts';
+import { routerKey } from './keys.ts';
+import { decodeRouter, RouterRowState } from './rows.ts';
+import type { CopiedRecord } from './types.ts';
+
+/** Checks per share check: owners die rarely, so their rows are read less often than shares are checked. */
+const CHECK_INTERVALS = 5;
+
+/** Finds copies whose owner is fenced or gone, so that this router settles them, and cleans copies up. */
+export function* orphanController(context: CoreContext): Task<void> {
+  for (;;) {
+    yield* sleepUntil(context.clock.monotonicMs + CHECK_INTERVALS * context.options.shareCheckIntervalMs);
+    askOwners(context);
+    pruneResolved(context);
+    yield* findOrphans(context);
+  }
+}
+
+/** Monotonic time of the last heartbeat of an incarnation; undefined if none was received. */
+export function heardAtMs(context: CoreContext, incarnationId: string): number | undefined {
+  const peers = [...context.board.membership.peers.values()];
+  return peers.find((peer) => peer.sender.incarnationId === incarnationId)?.heardAtMs;
+}
+
+function isSilent(context: CoreContext, incarnationId: string, limitMs: number): boolean {
+  const heardMs = heardAtMs(context, incarnationId);
+  return heardMs === undefined || context.clock.monotonicMs - heardMs >= limitMs;
+}
+
+function* findOrphans(context: CoreContext): Task<void> {
+  const { copies } = context.board.money;
+  const owners = new Map([...copies.values()].map((copy) => [copy.record.incarnationId, copy]));
+  const silent = [...owners].filter(([incarnationId]) =>
+    isSilent(context, incarnationId, context.options.peerTimeoutMs),
+  );
+  if (silent.length === 0) {
+    return;
+  }
+  const rows = yield* readRows(
+    context,
+    silent.map(([incarnationId]) => routerKey(incarnationId)),
+  );
+  for (const [incarnationId, copy] of rows === undefined ? [] : silent) {
+    const state = decodeRouter(rows?.get(routerKey(incarnationId))?.value)?.state;
+    const fenced = state === RouterRowState.Fenced || state === RouterRowState.Gone;
+    if (fenced || isAbsentOwner(context, copy)) {
+      adoptCopies(context, incarnationId, state === RouterRowState.Gone);
+    }
+  }
+}
+
+/** The owner's VM left the list and its incarnation is silent for the reclaim's grace time. */
+function isAbsentOwner(context: CoreContext, copy: CopiedRecord): boolean {
+  const { options, board, clock } = context;
+  return (
+    board.membership.absentSinceMs.get(copy.ownerVmId) !== undefined &&
+    isSilent(context, copy.record.incarnationId, options.reclaimGraceMs) &&
+    clock.monotonicMs - copy.receivedAtMs >= options.reclaimGraceMs
+  );
+}
+
+/** Used copies are settled here. Copies of reservations stay as evidence for a retry as long as money is held. */
+function adoptCopies(context: CoreContext, incarnationId: string, gone: boolean): void {
+  const { money } = context.board;
+  for (const [key, copy] of money.copies) {
+    if (copy.record.incarnationId !== incarnationId) {
+      continue;
+    }
+    if (copy.record.state === RecordState.Used) {
+      money.orphanKeys.add(key);
+    } else if (gone && context.clock.monotonicMs - copy.receivedAtMs >= context.options.heldLimitMs) {
+      money.copies.delete(key);
+    }
+  }
+}
+
+/** Acknowledges old copies again: an owner that has resolved the record answers with `RecordResolved`. */
+function askOwners(context: CoreContext): void {
+  for (const [key, copy] of context.board.money.copies) {
+    if (context.clock.monotonicMs - copy.receivedAtMs >= context.options.reclaimGraceMs) {
+      context.emit({
+        kind: EffectKind.PeerSend,
+        peerAddress: copy.ownerPeerAddress,
+        message: { kind: PeerMessageKind.RecordCopyAck, requestId: key, state: copy.record.state },
+      });
+    }
+  }
+}
+
+function pruneResolved(context: CoreContext): void {
+  const { resolvedAtMs } = context.board.money;
+  for (const [key, atMs] of resolvedAtMs) {
+    if (context.clock.monotonicMs - atMs >= context.options.reclaimGraceMs) {
+      resolvedAtMs.delete(key);
+    }
+  }
+}
--- a/packages/core/src/money/reserve.ts
+++ b/packages/core/src/money/reserve.ts
@@ -45,6 +45,9 @@
     return yield* waitForShare(context, request, waiter);
   } finally {
     waiters.delete(waiter);
+    if (waiters.size === 0 && money.waiters.get(request.organisationId) === waiters) {
+      money.waiters.delete(request.organisationId);
+    }
   }
 }
 
@@ -54,13 +57,17 @@
   waiter: ShareWaiter,
 ): Task<Result<Reservation, ReserveFailure>> {
   const deadlineMs = Math.min(request.deadlineMs, context.clock.monotonicMs + context.options.reserveWaitMs);
+  context.board.money.drawRequests.push(request.organisationId);
   while (context.board.confirmation === Confirmation.Confirmed && context.clock.monotonicMs < deadlineMs) {
-    context.board.money.drawRequests.push(request.organisationId);
     yield* receive(waiter.channel, deadlineMs);
     const reservation = tryReserve(context, request);
     if (reservation !== undefined) {
       return ok(reservation);
     }
+    // An exhausted budget is not read again and again; the wait goes on for releases.
+    if (ledgerOf(context, request.organisationId).freeMicros > 0) {
+      context.board.money.drawRequests.push(request.organisationId);
+    }
   }
   return err({
     reason: failureReason(context, request.organisationId),
--- /dev/null
+++ b/packages/core/src/money/returnAllShares.ts
@@ -0,0 +1,58 @@
+import type { CoreContext } from '../context.ts';
+import type { Task } from '../scheduler/task.ts';
+import { sleepUntil } from '../scheduler/task.ts';
+import type { ShareLevel } from '../types/messages.ts';
+import { isSafe, resendCopies } from './copies.ts';
+import { outstandingMicros } from './rows.ts';
+import { settleableRecords } from './settleableRecords.ts';
+import { availableMicros } from './shares.ts';
+import { syncOrganisation } from './syncOrganisation.ts';
+
+/** Wait after a round that left something, so that a caller that repeats rounds does not spin. */
+const ROUND_WAIT_MS = 100;
+
+/**
+ * One round of the drain: settles records, returns shares and hands unsettled records to peers. True when nothing
+ * is left; the caller repeats rounds as long as it can wait.
+ */
+export function* returnAllShares(context: CoreContext): Task<boolean> {
+  const { money } = context.board;
+  money.returning = true;
+  for (const organisationId of openOrganisations(context)) {
+    do {
+      yield* syncOrganisation(context, organisationId);
+    } while (hasMorePages(context, organisationId));
+  }
+  resendCopies(context);
+  const done = openOrganisations(context).size === 0;
+  if (!done) {
+    yield* sleepUntil(context.clock.monotonicMs + ROUND_WAIT_MS);
+  }
+  return done;
+}
+
+/** A full page was settled and the store answers, so the next page can follow at once. */
+function hasMorePages(context: CoreContext, organisationId: string): boolean {
+  const ledger = context.board.money.organisations.get(organisationId);
+  const justSettled =
+    ledger?.lastSettleAtMs === context.clock.monotonicMs && ledger.reachable && !ledger.busy;
+  return justSettled && settleableRecords(context, organisationId).length > 0;
+}
+
+/** Organisations with outstanding shares, or with own records that neither the table nor a peer holds. */
+function openOrganisations(context: CoreContext): Set<string> {
+  const { shares, ownRecords } = context.board.money;
+  const open = [...shares.values()].filter((share) => outstandingMicros(share) > 0);
+  const unsafe = [...ownRecords].filter(([key]) => !isSafe(context, key)).map(([, record]) => record);
+  return new Set([...open, ...unsafe].map((item) => item.organisationId));
+}
+
+/** What this router's shares can still cover, for heartbeats. */
+export function shareLevels(context: CoreContext): ShareLevel[] {
+  return [...context.board.money.shares.values()]
+    .map((share) => ({
+      organisationId: share.organisationId,
+      availableMicros: Math.max(0, availableMicros(share)),
+    }))
+    .filter((level) => level.availableMicros > 0);
+}
--- a/packages/core/src/money/settleableRecords.ts
+++ b/packages/core/src/money/settleableRecords.ts
@@ -3,10 +3,12 @@
 import { RecordState } from '../types/messages.ts';
 
 /** The used records that this router settles: its own of any incarnation, and copies of owners that are gone. */
-export function settleableRecords(context: CoreContext, organisationId: string): UsageRecord[] {
+export function allSettleableRecords(context: CoreContext): UsageRecord[] {
   const { ownRecords, copies, orphanKeys } = context.board.money;
   const orphans = [...orphanKeys].flatMap((key) => copies.get(key)?.record ?? []);
-  return [...ownRecords.values(), ...orphans].filter(
-    (record) => record.organisationId === organisationId && record.state === RecordState.Used,
-  );
+  return [...ownRecords.values(), ...orphans].filter((record) => record.state === RecordState.Used);
+}
+
+export function settleableRecords(context: CoreContext, organisationId: string): UsageRecord[] {
+  return allSettleableRecords(context).filter((record) => record.organisationId === organisationId);
 }
--- a/packages/core/src/money/types.ts
+++ b/packages/core/src/money/types.ts
@@ -90,6 +90,8 @@
   readonly resolvedAtMs: Map<string, number>;
   /** Keys of copies whose owner is fenced or gone: this router settles them. */
   readonly orphanKeys: Set<string>;
+  /** Incarnations that look dead, with the monotonic time since when they do. */
+  readonly suspectSinceMs: Map<string, number>;
   /** Incarnations that this router reclaims now. */
   readonly reclaiming: Set<string>;
   /** Every incarnation that this process had. */
@@ -98,6 +100,8 @@
   registeredIncarnationId: string | undefined;
   /** Counts pauses, so that an answer from before a pause does not confirm the incarnation after it. */
   pauseCount: number;
+  /** Monotonic time of the last pause; -Infinity if there was none. */
+  pausedAtMs: number;
   readonly confirmRequests: Channel<undefined>;
   /** The router drains: it returns shares and draws no more. */
   returning: boolean;
