--- a/packages/core/src/money/__tests__/money.test.ts
+++ b/packages/core/src/money/__tests__/money.test.ts
@@ -2,34 +2,9 @@
 import { test } from 'node:test';
 import { completeReservation, releaseReservation } from '../reservations.ts';
 import { reserve } from '../reserve.ts';
-import type { Reservation } from '../types.ts';
+import { availableMicros } from '../shares.ts';
 import type { Node } from './fleet.ts';
-import { Fleet, ORGANISATION } from './fleet.ts';
-
-const TOP_UP = { topUpId: 'first', amountMicros: 10_000 };
-
-function fleetOf(...names: string[]): { fleet: Fleet; nodes: Node[] } {
-  const fleet = new Fleet();
-  const nodes = names.map((name) => fleet.add(name));
-  fleet.configure([TOP_UP]);
-  fleet.run(50);
-  return { fleet, nodes };
-}
-
-function reserveOn(
-  fleet: Fleet,
-  node: Node,
-  requestId: string,
-  amountMicros: number,
-): Reservation | undefined {
-  const request = { requestId, organisationId: ORGANISATION, amountMicros, deadlineMs: fleet.nowMs + 400 };
-  const place = fleet.start(node, reserve(node.context, request));
-  fleet.run(410);
-  return place.result?.isOk() === true ? place.result.value : undefined;
-}
-
-const budgetOf = (fleet: Fleet): ReturnType<Fleet['table']['amounts']> =>
-  fleet.table.amounts(`budget/${ORGANISATION}`);
+import { budgetOf, fleetOf, ORGANISATION, reserveOn, TOP_UP } from './fleet.ts';
 
 test('a request is reserved from a draw, settled once and its rest released', () => {
   const { fleet, nodes } = fleetOf('a');
@@ -88,3 +63,44 @@
   releaseReservation(a.context, first);
   assert.ok(reserveOn(fleet, a, 'r2', 10_000));
 });
+
+test('money whose return has no answer yet is not reserved, even if the return takes effect late', () => {
+  for (const lateMs of [700, 2_700]) {
+    const { fleet, nodes } = fleetOf('a', 'b');
+    const [a, b] = nodes as [Node, Node];
+    const first = reserveOn(fleet, a, 'r1', 1_000);
+    assert.ok(first);
+    // The rest of the budget is taken: a draw would write the share row and so stop the late return.
+    const restMicros = TOP_UP.amountMicros - budgetOf(fleet).allocatedMicros;
+    assert.ok(reserveOn(fleet, b, 'rest', restMicros));
+    releaseReservation(a.context, first);
+    const { money } = a.core.board;
+    const share = money.shares.get(ORGANISATION);
+    assert.ok(share);
+    const drawnMicros = availableMicros(share);
+    fleet.commitDelayMs = () => lateMs;
+    money.returning = true;
+    money.drawRequests.push(ORGANISATION);
+    fleet.run(20);
+    money.returning = false;
+    fleet.commitDelayMs = () => 0;
+    // The first requests come before the return takes effect, the later ones after the row was read without it.
+    for (let index = 0; index < 80; index += 1) {
+      const requestId = `late${index}`;
+      const request = {
+        requestId,
+        organisationId: ORGANISATION,
+        amountMicros: drawnMicros,
+        deadlineMs: Infinity,
+      };
+      fleet.start(a, reserve(a.context, request));
+      fleet.run(50);
+      const row = fleet.table.amounts(`share/${ORGANISATION}/${a.core.board.incarnationId}`);
+      const outstanding = row.grantedMicros - row.settledMicros - row.returnedMicros;
+      assert.ok(
+        outstanding >= share.committedMicros,
+        `${outstanding} outstanding, ${share.committedMicros} committed`,
+      );
+    }
+  }
+});
--- a/packages/core/src/money/shareLevels.ts
+++ b/packages/core/src/money/shareLevels.ts
@@ -1,8 +1,13 @@
 import type { CoreContext } from '../context.ts';
 import type { ShareLevel } from '../types/messages.ts';
+import { availableMicros } from './shares.ts';
 
-/** What this router can still spend, by organisation, for heartbeats and status. */
-export function shareLevels(_context: CoreContext): ShareLevel[] {
-  // Added with the share ledger.
-  return [];
+/** What this router's shares can still cover, for heartbeats. */
+export function shareLevels(context: CoreContext): ShareLevel[] {
+  return [...context.board.money.shares.values()]
+    .map((share) => ({
+      organisationId: share.organisationId,
+      availableMicros: Math.max(0, availableMicros(share)),
+    }))
+    .filter((level) => level.availableMicros > 0);
 }
