Parse router settings and the configuration document with located faults

The settings package was empty. It now reads YAML with schemas and names the file, line, column, field, the expected value and what to do; unknown fields name the nearest known one. The document is checked as a whole: duplicates, references between sections, models without engine or price, overlapping operations.

--- /dev/null
+++ b/packages/settings/src/loadRouterSettings.ts
@@ -0,0 +1,68 @@
+import { readFileSync } from 'node:fs';
+import type { CoreOptions, RouterIdentity } from '@pimentostall/core';
+import type { Result } from 'neverthrow';
+import { err, Result as Results } from 'neverthrow';
+import { z } from 'zod';
+import { checkSchema } from './checkSchema.ts';
+import type { SettingsFault } from './faults.ts';
+import { coreOptionsSchema } from './options.ts';
+import { address, identifier, mapping } from './schemaParts.ts';
+import { YamlSource } from './yamlSource.ts';
+
+/** What a router process reads at its start. */
+export interface RouterSettings {
+  readonly identity: RouterIdentity;
+  readonly adminAddress: string;
+  readonly platformAddress: string;
+  /** Other addresses to connect to, by the address that is meant: the relay of a region link. */
+  readonly addressOverrides: Record<string, string>;
+  readonly options: Partial<CoreOptions>;
+  readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
+}
+
+const logLevel = z.enum(['debug', 'info', 'warn', 'error'], { error: 'debug, info, warn or error' });
+
+const settingsSchema = mapping({
+  routerId: identifier(),
+  vmId: identifier(),
+  region: identifier(),
+  storeRegion: identifier(),
+  availabilityZone: identifier(),
+  callerAddress: address(),
+  peerAddress: address(),
+  adminAddress: address(),
+  platformAddress: address(),
+  addressOverrides: z.record(address(), address(), { error: 'a mapping of addresses IP:port' }).default({}),
+  options: coreOptionsSchema.default({}),
+  log: mapping({ level: logLevel.default('info') }).default({ level: 'info' }),
+});
+
+/** Reads the settings file of a router. */
+export function loadRouterSettings(file: string): Result<RouterSettings, readonly SettingsFault[]> {
+  const text = Results.fromThrowable(
+    () => readFileSync(file, 'utf8'),
+    (cause) => (cause instanceof Error ? cause.message : String(cause)),
+  )();
+  return text.isErr() ? err([unreadable(file, text.error)]) : parseRouterSettings(text.value, file);
+}
+
+export function parseRouterSettings(
+  text: string,
+  file: string,
+): Result<RouterSettings, readonly SettingsFault[]> {
+  return checkSchema(new YamlSource(text), settingsSchema, '')
+    .map(({ adminAddress, platformAddress, addressOverrides, options, log, ...identity }) => ({
+      identity,
+      adminAddress,
+      platformAddress,
+      addressOverrides,
+      options,
+      logLevel: log.level,
+    }))
+    .mapErr((faults) => faults.map((fault) => ({ file, ...fault })));
+}
+
+function unreadable(file: string, detail: string): SettingsFault {
+  const advice = `check the path and its permissions: ${detail}`;
+  return { file, line: 1, column: 1, field: '(file)', expected: 'a readable file', advice };
+}
--- /dev/null
+++ b/packages/settings/src/options.ts
@@ -0,0 +1,21 @@
+import type { CoreOptions } from '@pimentostall/core';
+import { DEFAULT_CORE_OPTIONS } from '@pimentostall/core';
+import type { z } from 'zod';
+import { integer, mapping, numberBetween } from './schemaParts.ts';
+
+const FRACTIONS: readonly string[] = ['drawFraction', 'retryBudgetFraction'];
+const ZERO_ALLOWED: readonly string[] = ['copyCount', 'farEngineCostMs'];
+
+/** Every field of CoreOptions, optional; the defaults are those of the core. */
+export const coreOptionsSchema = mapping(
+  Object.fromEntries(
+    Object.keys(DEFAULT_CORE_OPTIONS).map((field) => [field, optionSchema(field).optional()]),
+  ),
+) as unknown as z.ZodType<Partial<CoreOptions>>;
+
+function optionSchema(field: string): z.ZodType<number> {
+  if (FRACTIONS.includes(field)) {
+    return numberBetween(0, 1);
+  }
+  return integer(ZERO_ALLOWED.includes(field) ? 0 : 1);
+}
--- /dev/null
+++ b/packages/settings/src/parseConfigurationSections.ts
@@ -0,0 +1,54 @@
+import type { ConfigurationDocument, ConfigurationFault, ConfigurationParser } from '@pimentostall/core';
+import { SectionName } from '@pimentostall/core';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { checkReferences } from './checkReferences.ts';
+import { checkSchema, fieldName } from './checkSchema.ts';
+import { sectionSchemas } from './configurationSchema.ts';
+import { YamlSource } from './yamlSource.ts';
+
+/** What is checked: a section's name and its text. */
+export interface SectionText {
+  readonly name: SectionName;
+  readonly text: string;
+}
+
+type Sources = Readonly<Record<SectionName, YamlSource>>;
+
+/** Checks all sections as one document. A section that is not given is empty. Never throws. */
+export const parseConfigurationSections: ConfigurationParser = (sections) => parseSectionTexts(sections);
+
+export function parseSectionTexts(
+  sections: readonly SectionText[],
+): Result<ConfigurationDocument, readonly ConfigurationFault[]> {
+  const sources = readSources(sections);
+  return checkSchemas(sources).andThen((document) => {
+    const faults = checkReferences(document).map(({ section, path, expected, advice }) => ({
+      section,
+      ...sources[section].placeOf(path),
+      field: fieldName(section, path),
+      expected,
+      advice,
+    }));
+    return faults.length === 0 ? ok(document) : err(faults);
+  });
+}
+
+function readSources(sections: readonly SectionText[]): Sources {
+  const texts = new Map(sections.map(({ name, text }) => [name, text]));
+  const entries = Object.values(SectionName).map((name) => [name, new YamlSource(texts.get(name) ?? '')]);
+  return Object.fromEntries(entries) as Sources;
+}
+
+function checkSchemas(sources: Sources): Result<ConfigurationDocument, ConfigurationFault[]> {
+  const faults: ConfigurationFault[] = [];
+  const values = Object.values(SectionName).map((section) => {
+    const checked = checkSchema<unknown>(sources[section], sectionSchemas[section], section);
+    if (checked.isErr()) {
+      faults.push(...checked.error.map((fault) => ({ section, ...fault })));
+    }
+    return [section, checked.unwrapOr([])];
+  });
+  // Each section's schema yields the type of its field in the document.
+  return faults.length === 0 ? ok(Object.fromEntries(values) as ConfigurationDocument) : err(faults);
+}
--- /dev/null
+++ b/packages/settings/src/splitSections.ts
@@ -0,0 +1,105 @@
+import { SectionName } from '@pimentostall/core';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { Pair } from 'yaml';
+import { isMap, isScalar, LineCounter, parseDocument } from 'yaml';
+import type { SettingsFault } from './faults.ts';
+import { nearestField } from './nearestField.ts';
+import { YamlSource } from './yamlSource.ts';
+
+/** A section cut out of the one long document. */
+export interface SplitSection {
+  readonly name: SectionName;
+  readonly text: string;
+  /** Lines of the document before the section's text, for the places of faults. */
+  readonly linesBefore: number;
+}
+
+/** Cuts the one long document into the texts of its sections, unchanged and with their comments. */
+export function splitSections(text: string, file = 'document'): Result<SplitSection[], SettingsFault[]> {
+  const source = new YamlSource(text);
+  if (source.faults.length > 0) {
+    return err(source.faults.map((fault) => ({ file, ...fault })));
+  }
+  const { contents } = parseDocument(text, { lineCounter: new LineCounter() });
+  if (contents === null) {
+    return ok([]);
+  }
+  if (!isMap(contents) || contents.flow === true) {
+    return err([documentFault(file, source.placeOf([]))]);
+  }
+  const starts = contents.items.map((pair) => keyStart(pair));
+  const cuts = contents.items.map((pair, index) =>
+    cutSection({
+      text,
+      file,
+      source,
+      start: starts[index],
+      end: starts[index + 1] ?? text.length,
+      name: keyName(pair),
+    }),
+  );
+  const faults = cuts.flatMap((cut) => (cut.isErr() ? [cut.error] : []));
+  return faults.length > 0 ? err(faults) : ok(cuts.flatMap((cut) => (cut.isOk() ? [cut.value] : [])));
+}
+
+function keyStart(pair: Pair): number {
+  return isScalar(pair.key) ? (pair.key.range?.[0] ?? 0) : 0;
+}
+
+function keyName(pair: Pair): string {
+  return isScalar(pair.key) ? String(pair.key.value) : '';
+}
+
+interface Cut {
+  readonly text: string;
+  readonly file: string;
+  readonly source: YamlSource;
+  readonly start: number | undefined;
+  readonly end: number;
+  readonly name: string;
+}
+
+function cutSection({ text, file, source, start = 0, end, name }: Cut): Result<SplitSection, SettingsFault> {
+  const known = Object.values(SectionName).find((section) => name === section.valueOf());
+  const place = source.placeAt(start);
+  if (known === undefined) {
+    return err(unknownSection(file, place, name));
+  }
+  const whole = text.slice(start, end);
+  const colon = /^(?:"[^"]*"|'[^']*'|[a-z]+)[ \t]*:/.exec(whole)?.[0].length;
+  if (colon === undefined) {
+    return err(documentFault(file, place));
+  }
+  const lineEnd = whole.indexOf('\n');
+  const restOfLine = lineEnd < 0 ? whole.slice(colon) : whole.slice(colon, lineEnd);
+  if (lineEnd >= 0 && /^\s*(?:#.*)?$/.test(restOfLine)) {
+    return ok({ name: known, text: whole.slice(lineEnd + 1), linesBefore: place.line });
+  }
+  // Spaces in the place of the name keep the columns of a value on the same line.
+  const padding = ' '.repeat(place.column - 1 + colon);
+  return ok({ name: known, text: padding + whole.slice(colon), linesBefore: place.line - 1 });
+}
+
+function documentFault(file: string, place: { line: number; column: number }): SettingsFault {
+  const expected = 'a block mapping with one plain key for each section';
+  return {
+    file,
+    ...place,
+    field: '(document)',
+    expected,
+    advice: 'write each section as "name:" on its own line',
+  };
+}
+
+function unknownSection(file: string, place: { line: number; column: number }, name: string): SettingsFault {
+  const names = Object.values(SectionName);
+  const advice = `remove the unknown section or write "${nearestField(name, names) ?? ''}"`;
+  return {
+    file,
+    ...place,
+    field: name || '(document)',
+    expected: `one of the sections ${names.join(', ')}`,
+    advice,
+  };
+}
--- /dev/null
+++ b/packages/settings/src/yamlSource.ts
@@ -0,0 +1,93 @@
+import type { Document } from 'yaml';
+import { isMap, isNode, isScalar, isSeq, LineCounter, parseDocument } from 'yaml';
+
+export type FieldPath = readonly (string | number)[];
+
+/** A fault before it is known which file or section it belongs to. */
+export interface LocatedFault {
+  readonly line: number;
+  readonly column: number;
+  readonly field: string;
+  readonly expected: string;
+  readonly advice: string;
+}
+
+export interface Place {
+  readonly line: number;
+  readonly column: number;
+}
+
+/** YAML text with its values and the place of each value. Parsing never throws; syntax errors are faults. */
+export class YamlSource {
+  readonly value: unknown;
+  readonly faults: readonly LocatedFault[];
+  private readonly document: Document;
+  private readonly lineCounter = new LineCounter();
+
+  constructor(text: string) {
+    this.document = parseDocument(text, { lineCounter: this.lineCounter, prettyErrors: false });
+    const faults = this.document.errors.map((error) => this.syntaxFault(error.pos[0], error.message));
+    this.faults = faults;
+    if (faults.length > 0) {
+      return;
+    }
+    try {
+      this.value = this.document.toJS();
+    } catch (cause) {
+      // An unresolved alias, or aliases that multiply beyond the parser's limit.
+      this.faults = [this.syntaxFault(0, cause instanceof Error ? cause.message : 'unreadable YAML')];
+    }
+  }
+
+  /** The place of a value, or of the innermost enclosing value that exists. */
+  placeOf(path: FieldPath): Place {
+    let node: unknown = this.document.contents;
+    let offset = startOffset(node) ?? 0;
+    for (const step of path) {
+      node = childOf(node, step);
+      offset = startOffset(node) ?? offset;
+    }
+    return this.placeAt(offset);
+  }
+
+  /** The place of a mapping's key. */
+  placeOfKey(path: FieldPath, key: string): Place {
+    let node: unknown = this.document.contents;
+    for (const step of path) {
+      node = childOf(node, step);
+    }
+    const pair = isMap(node)
+      ? node.items.find((item) => isScalar(item.key) && String(item.key.value) === key)
+      : undefined;
+    const offset = startOffset(pair?.key);
+    return offset === undefined ? this.placeOf(path) : this.placeAt(offset);
+  }
+
+  placeAt(offset: number): Place {
+    const { line, col } = this.lineCounter.linePos(offset);
+    return { line: Math.max(line, 1), column: Math.max(col, 1) };
+  }
+
+  private syntaxFault(offset: number, detail: string): LocatedFault {
+    return {
+      ...this.placeAt(offset),
+      field: '(document)',
+      expected: 'valid YAML',
+      advice: `correct the syntax: ${detail.replaceAll('\n', ' ')}`,
+    };
+  }
+}
+
+function childOf(node: unknown, step: string | number): unknown {
+  return isMap(node) || isSeq(node) ? node.get(step, true) : undefined;
+}
+
+function startOffset(node: unknown): number | undefined {
+  return isNode(node) ? node.range?.[0] : undefined;
+}
+
+/** Prints a path as `topUps[0].amountMicros`. */
+export function formatPath(path: FieldPath): string {
+  const text = path.map((step) => (typeof step === 'number' ? `[${step}]` : `.${step}`)).join('');
+  return text.startsWith('.') ? text.slice(1) : text;
+}
