Serve the administration API from the core

Operators could neither read nor change the configuration. The core now authenticates operators by their rows, shows configuration, status and budgets, and accepts a section by compare-and-set.

--- a/packages/core/src/configuration/__tests__/tableFake.ts
+++ b/packages/core/src/configuration/__tests__/tableFake.ts
@@ -9,6 +9,8 @@
   down = false;
   /** This many commits take effect and lose their answer. */
   loseReplies = 0;
+  /** The store goes down right after the next commit. */
+  downAfterCommit = false;
   /** Runs once before the next commit, as a racing operator does. */
   beforeCommit: (() => void) | undefined;
   /** Runs once after the next scan. */
@@ -60,6 +62,8 @@
       }
     }
     this.loseReplies -= 1;
+    this.down = this.downAfterCommit;
+    this.downAfterCommit = false;
     return { kind: this.loseReplies >= 0 ? TableOutcomeKind.Unknown : TableOutcomeKind.Committed };
   }
 }
--- a/packages/core/src/configuration/handleAdminRequest.ts
+++ b/packages/core/src/configuration/handleAdminRequest.ts
@@ -2,12 +2,43 @@
 import type { Task } from '../scheduler/task.ts';
 import { EffectKind } from '../types/effects.ts';
 import type { AdminRequest } from '../types/events.ts';
+import type { AdminReply } from './adminReply.ts';
+import { notFound } from './adminReply.ts';
+import { viewBudget, viewConfiguration, viewStatus } from './adminViews.ts';
+import { authenticateOperator } from './authenticateOperator.ts';
+import { putSection } from './putSection.ts';
+import type { Operator } from './types.ts';
 
 /** Serves one request of an operator on the administration port. */
 export function* handleAdminRequest(
   context: CoreContext,
   exchangeId: string,
-  _request: AdminRequest,
+  request: AdminRequest,
 ): Task<void> {
-  context.emit({ kind: EffectKind.AdminReply, exchangeId, status: 404, body: '{}' });
+  const operator = yield* authenticateOperator(context, request);
+  const { status, body } = operator.isErr() ? operator.error : yield* route(context, operator.value, request);
+  context.emit({ kind: EffectKind.AdminReply, exchangeId, status, body: JSON.stringify(body) });
+}
+
+const SECTION_PATH = /^\/v1\/config\/sections\/([^/]+)$/;
+const BUDGET_PATH = /^\/v1\/budgets\/([^/]+)$/;
+
+function* route(context: CoreContext, operator: Operator, request: AdminRequest): Task<AdminReply> {
+  const { method, path } = request;
+  const section = SECTION_PATH.exec(path)?.[1];
+  const organisationId = BUDGET_PATH.exec(path)?.[1];
+  if (method === 'PUT' && section !== undefined) {
+    return yield* putSection(context, operator, request, section);
+  }
+  if (method === 'GET' && organisationId !== undefined) {
+    return yield* viewBudget(context, organisationId);
+  }
+  switch (`${method} ${path}`) {
+    case 'GET /v1/config':
+      return yield* viewConfiguration(context);
+    case 'GET /v1/status':
+      return viewStatus(context);
+    default:
+      return notFound(`There is no call ${method} ${path}.`);
+  }
 }
--- /dev/null
+++ b/packages/core/src/configuration/putSection.ts
@@ -0,0 +1,44 @@
+import type { CoreContext } from '../context.ts';
+import type { Task } from '../scheduler/task.ts';
+import type { AdminRequest } from '../types/events.ts';
+import type { AdminReply } from './adminReply.ts';
+import { AdminReason, malformed, notFound, refused } from './adminReply.ts';
+import { changeSection } from './changeSection.ts';
+import { findSectionName } from './storedRows.ts';
+import type { Operator } from './types.ts';
+
+/** Change identifiers are part of a row key. */
+const CHANGE_ID = /^[A-Za-z0-9._-]{1,100}$/;
+const VERSION = /^\d{1,15}$/;
+
+/** Checks the form of a change and who asks for it before the store is involved. */
+export function* putSection(
+  context: CoreContext,
+  operator: Operator,
+  request: AdminRequest,
+  sectionName: string,
+): Task<AdminReply> {
+  const name = findSectionName(sectionName);
+  const { baseVersion = '', changeId = '' } = request.query;
+  if (name === undefined) {
+    return notFound(`There is no section "${sectionName}".`);
+  }
+  if (!operator.sections.includes(name)) {
+    const detail = `Operator ${operator.operatorId} may change: ${operator.sections.join(', ')}.`;
+    return refused({ status: 403, reason: AdminReason.Forbidden, detail });
+  }
+  if (!VERSION.test(baseVersion)) {
+    return malformed('Query parameter baseVersion must be the version that the change is based on.');
+  }
+  if (!CHANGE_ID.test(changeId)) {
+    return malformed('Query parameter changeId must be 1 to 100 letters, digits, ".", "_" or "-".');
+  }
+  const { operatorId } = operator;
+  return yield* changeSection(context, {
+    name,
+    text: request.body,
+    baseVersion: Number(baseVersion),
+    changeId,
+    operatorId,
+  });
+}
