Test the adapters against loopback fakes

Nothing checked the adapters' promises.

They found one fault: a problem after the start of a stream cut the connection instead of ending it with an error event, because Node does not store headers that are passed to writeHead. The exchange now remembers the content type.

--- /dev/null
+++ b/packages/shell/src/callers/__tests__/callerServer.test.ts
@@ -0,0 +1,167 @@
+import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import type { TestContext } from 'node:test';
+import { test } from 'node:test';
+import { CallerRequestKind, EventKind } from '@pimentostall/core';
+import fc from 'fast-check';
+import { RecordingSink } from '../../__tests__/fakes.ts';
+import { splitAddress } from '../../addresses.ts';
+import type { ShellOptions } from '../../options.ts';
+import { DEFAULT_SHELL_OPTIONS } from '../../options.ts';
+import { CallerServer } from '../callerServer.ts';
+import { parseCallerRequest } from '../parseCallerRequest.ts';
+
+const CHAT = { model: 'm', messages: [{ role: 'user', content: 'hi' }], stream: true };
+
+async function startServer(context: TestContext, options: Partial<ShellOptions> = {}) {
+  const sink = new RecordingSink();
+  const server = new CallerServer(sink, { ...DEFAULT_SHELL_OPTIONS, ...options });
+  context.after(() => server.close());
+  return { sink, server, address: await server.listen('127.0.0.1:0') };
+}
+
+/** Sends raw bytes and collects the answer until the server closes the connection. */
+function sendRaw(address: string, bytes: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const socket = connect(splitAddress(address), () => socket.write(bytes));
+    let answer = '';
+    socket.on('data', (part) => {
+      answer += part.toString();
+    });
+    socket.on('close', () => {
+      resolve(answer);
+    });
+    socket.on('error', reject);
+  });
+}
+
+test('a request reaches the core without its key, and the answer streams back', async (context) => {
+  const { sink, server, address } = await startServer(context);
+  const answer = fetch(`http://${address}/v1/chat/completions?hop=1`, {
+    method: 'POST',
+    headers: { Authorization: 'Bearer secret', 'Idempotency-Key': 'k-1' },
+    body: JSON.stringify(CHAT),
+  });
+  const arrived = await sink.next(EventKind.CallerArrived);
+  assert.equal(arrived.request.kind, CallerRequestKind.ChatCompletion);
+  assert.equal(arrived.metadata.idempotencyKey, 'k-1');
+  assert.equal(arrived.metadata.redirected, true);
+  assert.ok(!JSON.stringify(arrived).includes('secret'));
+  const exchange = server.exchange(arrived.exchangeId);
+  exchange?.start(200, { 'Content-Type': 'text/event-stream' });
+  exchange?.write('data: 1\n\n');
+  exchange?.end('data: [DONE]\n\n');
+  assert.equal(await (await answer).text(), 'data: 1\n\ndata: [DONE]\n\n');
+});
+
+test('malformed requests are answered with a located problem and the verdict did-not-run', async (context) => {
+  const { sink, address } = await startServer(context, { maxBodyBytes: 100 });
+  const post = (path: string, body: string, headers: Record<string, string> = {}): Promise<Response> =>
+    fetch(`http://${address}${path}`, { method: 'POST', body, headers });
+  const chat = '/v1/chat/completions';
+  const cases: [Promise<Response>, number, string][] = [
+    [post(chat, '{'), 400, 'valid JSON'],
+    [post(chat, '{"model":"m","messages":[{"role":"u"}]}'), 400, 'messages[0].content'],
+    [post(chat, 'x'.repeat(200)), 413, '100 bytes'],
+    [post(chat, '{}', { 'Idempotency-Key': 'a/b' }), 400, 'Idempotency-Key'],
+    [post('/v1/services/orders/a%2Fb', ''), 400, 'dot segments'],
+    [post('/v1/nothing', ''), 404, 'route'],
+    [post('/v1/health', ''), 405, 'GET'],
+  ];
+  for (const [pending, status, place] of cases) {
+    const response = await pending;
+    const problem = (await response.json()) as { verdict: string; detail: string };
+    assert.equal(response.status, status);
+    assert.equal(problem.verdict, 'did-not-run');
+    assert.ok(problem.detail.includes(place), `${problem.detail} names ${place}`);
+  }
+  assert.deepEqual(sink.events, []);
+});
+
+test('a path that a service may resolve differently is refused (an order matched as a lookup)', () => {
+  for (const path of ['/a/../b', '/a/%2e%2E/b', '/a/.%2e', '/./b', '/a%2fb', '/a%5Cb', '/a\\b']) {
+    const target = `/v1/services/orders${path}`;
+    const parsed = parseCallerRequest({ method: 'GET', target, headers: {}, body: '' });
+    assert.ok(parsed.isErr(), path);
+  }
+});
+
+test('bytes that are not HTTP and oversized headers are answered as problems', async (context) => {
+  const { address } = await startServer(context);
+  assert.match(await sendRaw(address, 'nonsense\r\n\r\n'), /^HTTP\/1\.1 400 .*did-not-run/s);
+  const header = `X: ${'x'.repeat(20_000)}`;
+  assert.match(
+    await sendRaw(address, `GET / HTTP/1.1\r\n${header}\r\n\r\n`),
+    /^HTTP\/1\.1 431 .*did-not-run/s,
+  );
+});
+
+test('a caller that does not read fills its socket, and leaving is reported (unbounded buffers)', async (context) => {
+  const { sink, server, address } = await startServer(context);
+  const socket = connect(splitAddress(address), () => {
+    socket.pause();
+    socket.write('GET /v1/entry HTTP/1.1\r\nHost: x\r\n\r\n');
+  });
+  const { exchangeId } = await sink.next(EventKind.CallerArrived);
+  const exchange = server.exchange(exchangeId);
+  assert.ok(exchange !== undefined);
+  exchange.start(200, { 'Content-Type': 'text/event-stream' });
+  exchange.write('x'.repeat(900_000));
+  let writable = false;
+  void exchange.writable().then(() => {
+    writable = true;
+  });
+  await Promise.resolve();
+  assert.equal(writable, false);
+  // Beyond the bound the router ends the connection itself.
+  for (let count = 0; count < 64 && server.exchange(exchangeId) !== undefined; count += 1) {
+    exchange.write('x'.repeat(900_000));
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  await sink.next(EventKind.CallerGone);
+  assert.equal(server.exchange(exchangeId), undefined);
+  socket.destroy();
+});
+
+test('a problem after the start of a stream ends it as an error event', async (context) => {
+  const { sink, server, address } = await startServer(context);
+  const answer = fetch(`http://${address}/v1/entry`);
+  const { exchangeId } = await sink.next(EventKind.CallerArrived);
+  const exchange = server.exchange(exchangeId);
+  exchange?.start(200, { 'Content-Type': 'text/event-stream' });
+  const parsed = parseCallerRequest({ method: 'GET', target: '/x', headers: {}, body: '' });
+  exchange?.endWithProblem(parsed._unsafeUnwrapErr());
+  assert.match(await (await answer).text(), /^event: error\ndata: \{.*"did-not-run".*\}\n\n$/);
+});
+
+test('no caller request crashes the parser, and each refusal says what to do', () => {
+  const chatBody = fc.oneof(
+    fc.string(),
+    fc.json(),
+    fc.record({ model: fc.anything(), messages: fc.anything(), stream: fc.anything() }).map((value) => {
+      try {
+        return JSON.stringify(value);
+      } catch {
+        return '';
+      }
+    }),
+  );
+  const target = fc.oneof(
+    fc.constant('/v1/chat/completions'),
+    fc.string({ unit: 'binary' }),
+    fc.webPath().map((path) => `/v1/services/orders${path}`),
+  );
+  const method = fc.constantFrom('GET', 'POST', 'PUT', 'TRACE', '');
+  const headers = fc.record({ authorization: fc.string(), 'idempotency-key': fc.string() });
+  fc.assert(
+    fc.property(method, target, headers, chatBody, (m, t, h, body) => {
+      const result = parseCallerRequest({ method: m, target: t, headers: h, body });
+      if (result.isErr()) {
+        assert.equal(result.error.verdict, 'did-not-run');
+        assert.ok(result.error.detail.length > 10);
+        assert.ok(result.error.status >= 400 && result.error.status < 500);
+      }
+    }),
+    { seed: 3, numRuns: 500 },
+  );
+});
--- a/packages/shell/src/callers/callerExchange.ts
+++ b/packages/shell/src/callers/callerExchange.ts
@@ -9,6 +9,7 @@
 export class CallerExchange {
   private drainWaiters: (() => void)[] = [];
   private stallTimer: NodeJS.Timeout | undefined;
+  private isEventStream = false;
 
   constructor(
     private readonly response: ServerResponse,
@@ -26,6 +27,8 @@
   }
 
   start(status: number, headers: Readonly<Record<string, string>>): void {
+    const types = Object.entries(headers).filter(([name]) => name.toLowerCase() === 'content-type');
+    this.isEventStream = types.some(([, type]) => type.startsWith('text/event-stream'));
     this.response.writeHead(status, headers);
     this.response.flushHeaders();
   }
@@ -53,7 +56,7 @@
       this.response.end(problemBody(problem));
       return;
     }
-    if (String(this.response.getHeader('content-type')).startsWith('text/event-stream')) {
+    if (this.isEventStream) {
       this.response.end(`event: error\ndata: ${problemBody(problem)}\n\n`);
       return;
     }
--- /dev/null
+++ b/packages/shell/src/upstreams/__tests__/upstreamAdapter.test.ts
@@ -0,0 +1,177 @@
+import assert from 'node:assert/strict';
+import type { ServerResponse } from 'node:http';
+import type { TestContext } from 'node:test';
+import { test } from 'node:test';
+import type { StepClock, UpstreamRequest } from '@pimentostall/core';
+import { EffectKind, EventKind, UpstreamRequestKind } from '@pimentostall/core';
+import { closedAddress, RecordingSink, startFake, startTcpFake } from '../../__tests__/fakes.ts';
+import { DEFAULT_SHELL_OPTIONS } from '../../options.ts';
+import { UpstreamAdapter } from '../upstreamAdapter.ts';
+
+const CLOCK: StepClock = { monotonicMs: 0, wallMs: 0 };
+const CALL: UpstreamRequest = {
+  kind: UpstreamRequestKind.ServiceCall,
+  requestId: 'r1',
+  method: 'POST',
+  path: '/orders',
+  body: '{}',
+  contentType: 'application/json',
+};
+const START: UpstreamRequest = {
+  kind: UpstreamRequestKind.EngineStart,
+  requestId: 'r1',
+  model: 'm',
+  messages: [],
+  maxOutputTokens: 8,
+  priority: 1,
+};
+const FINISH = { reason: 'stop', promptTokens: 3, cachedPromptTokens: 0, outputTokens: 2 };
+
+function createAdapter(
+  context: TestContext,
+  readClock = () => CLOCK,
+  callerWritable = (): Promise<void> => Promise.resolve(),
+) {
+  const sink = new RecordingSink();
+  const adapter = new UpstreamAdapter({
+    sink,
+    options: DEFAULT_SHELL_OPTIONS,
+    readClock,
+    pauseLimitMs: 2_000,
+    resolveAddress: (address) => address,
+    callerWritable,
+  });
+  context.after(() => adapter.close());
+  const open = (address: string, request: UpstreamRequest): void => {
+    const fields = { attemptId: 'a1', exchangeId: 'e1', deadlineMs: 60_000 };
+    adapter.open({ kind: EffectKind.UpstreamOpen, address, request, ...fields }, CLOCK);
+  };
+  return { sink, adapter, open };
+}
+
+function writeChunk(response: ServerResponse, index: number, finish?: typeof FINISH): void {
+  response.write(`data: ${JSON.stringify({ index, text: `t${index}`, finish })}\n\n`);
+}
+
+test('a refused connection reports no bytes sent (a false "may have run")', async (context) => {
+  const { sink, open } = createAdapter(context);
+  open(await closedAddress(), CALL);
+  assert.equal((await sink.next(EventKind.UpstreamFailed)).bytesSent, false);
+});
+
+test('a connection that closes without an answer reports bytes sent (a false "did not run")', async (context) => {
+  const address = await startTcpFake(context, (socket) => {
+    socket.once('data', () => socket.destroy());
+  });
+  const { sink, open } = createAdapter(context);
+  open(address, CALL);
+  assert.equal((await sink.next(EventKind.UpstreamFailed)).bytesSent, true);
+});
+
+test('a reused connection that breaks is not retried and reports bytes sent (an order run twice)', async (context) => {
+  let requests = 0;
+  const address = await startFake(context, (request, response) => {
+    requests += 1;
+    if (requests === 1) {
+      response.end('{}');
+    } else {
+      request.socket.destroy();
+    }
+  });
+  const { sink, open } = createAdapter(context);
+  open(address, CALL);
+  assert.equal((await sink.next(EventKind.UpstreamEnded)).body, '{}');
+  open(address, CALL);
+  assert.equal((await sink.next(EventKind.UpstreamFailed)).bytesSent, true);
+  assert.equal(requests, 2);
+});
+
+test('a pause between step and write sends nothing (spending a reclaimed share)', async (context) => {
+  let requests = 0;
+  const address = await startFake(context, (_request, response) => {
+    requests += 1;
+    response.end();
+  });
+  const { sink, open } = createAdapter(context, () => ({ monotonicMs: 0, wallMs: 2_001 }));
+  open(address, CALL);
+  assert.equal((await sink.next(EventKind.UpstreamFailed)).bytesSent, false);
+  assert.equal(requests, 0);
+});
+
+test('a stream is relayed with its indexes and ends after its last chunk (a cut answer)', async (context) => {
+  const address = await startFake(context, (_request, response) => {
+    response.writeHead(200, { 'Content-Type': 'text/event-stream' });
+    writeChunk(response, 0);
+    writeChunk(response, 1, FINISH);
+    response.end();
+  });
+  const { sink, open } = createAdapter(context);
+  open(address, START);
+  await sink.next(EventKind.UpstreamEnded);
+  const chunks = sink.events.flatMap((event) =>
+    event.kind === EventKind.UpstreamChunk ? [event.chunk] : [],
+  );
+  assert.deepEqual(chunks, [
+    { index: 0, text: 't0', finish: undefined },
+    { index: 1, text: 't1', finish: FINISH },
+  ]);
+});
+
+test('a stream without its last chunk fails (a cut answer taken for whole)', async (context) => {
+  const address = await startFake(context, (_request, response) => {
+    writeChunk(response, 0);
+    response.end();
+  });
+  const { sink, open } = createAdapter(context);
+  open(address, START);
+  assert.equal((await sink.next(EventKind.UpstreamFailed)).bytesSent, true);
+});
+
+test('a full caller socket stops the reading of its engine (memory filled by a slow reader)', async (context) => {
+  const partCount = 64;
+  const text = 'x'.repeat(64 * 1024);
+  const address = await startFake(context, (_request, response) => {
+    for (let index = 0; index < partCount; index += 1) {
+      const finish = index === partCount - 1 ? FINISH : undefined;
+      response.write(`data: ${JSON.stringify({ index, text, finish })}\n\n`);
+    }
+    response.end();
+  });
+  let drain = (): void => undefined;
+  const drained = new Promise<void>((resolve) => {
+    drain = resolve;
+  });
+  let full = false;
+  const { sink, open } = createAdapter(context, undefined, () => (full ? drained : Promise.resolve()));
+  sink.onEvent = (event) => {
+    full ||= event.kind === EventKind.UpstreamChunk;
+  };
+  open(address, START);
+  await sink.next(EventKind.UpstreamChunk);
+  await new Promise((resolve) => setImmediate(resolve));
+  const chunkCount = (): number =>
+    sink.events.filter((event) => event.kind === EventKind.UpstreamChunk).length;
+  assert.ok(chunkCount() < partCount);
+  drain();
+  await sink.next(EventKind.UpstreamEnded);
+  assert.equal(chunkCount(), partCount);
+});
+
+test('cancelling the work reports what ran (unbilled output)', async (context) => {
+  const address = await startFake(context, (request, response) => {
+    if (request.method === 'DELETE') {
+      response.end(JSON.stringify({ promptTokens: 3, cachedPromptTokens: 0, outputTokens: 1 }));
+    } else {
+      writeChunk(response, 0);
+    }
+  });
+  const { sink, adapter, open } = createAdapter(context);
+  open(address, START);
+  await sink.next(EventKind.UpstreamChunk);
+  const ids = { attemptId: 'a1', requestId: 'r1' };
+  adapter.cancel({ kind: EffectKind.UpstreamCancel, address, stopWork: true, ...ids });
+  await sink.next(EventKind.UpstreamEnded);
+  const last = sink.events.findLast((event) => event.kind === EventKind.UpstreamChunk);
+  const finish = { reason: 'cancelled', promptTokens: 3, cachedPromptTokens: 0, outputTokens: 1 };
+  assert.deepEqual(last?.chunk, { index: 1, text: '', finish });
+});
