Let open answers and peer messages finish when the router exits

Closing a Node HTTP server cuts off answers that were ended but are still in the buffer of a slow connection, and the peer client was closed with messages under way. The exit now waits up to 5 s for both and refuses new requests with did-not-run. A parser error behind an answer under way no longer writes a problem into that answer.

--- a/packages/shell/src/administration/adminServer.ts
+++ b/packages/shell/src/administration/adminServer.ts
@@ -3,7 +3,7 @@
 import { EventKind } from '@pimentostall/core';
 import { hashBearerKey } from '../http/bearerKey.ts';
 import { createBoundedServer } from '../http/createBoundedServer.ts';
-import { closeServer, listen } from '../http/listen.ts';
+import { closeServer, listen, trackOpenResponses } from '../http/listen.ts';
 import { bodyProblem, malformed, PROBLEM_CONTENT_TYPE, problemBody } from '../http/problems.ts';
 import { readBody } from '../http/readBody.ts';
 import type { ShellOptions } from '../options.ts';
@@ -15,6 +15,7 @@
 export class AdminServer {
   private readonly responses = new Map<string, ServerResponse>();
   private readonly server: Server;
+  private readonly openResponses: ReadonlySet<ServerResponse>;
 
   constructor(
     private readonly sink: EventSink,
@@ -26,6 +27,7 @@
         response.destroy();
       });
     });
+    this.openResponses = trackOpenResponses(this.server);
   }
 
   listen(address: string): Promise<string> {
@@ -33,7 +35,7 @@
   }
 
   close(): Promise<void> {
-    return closeServer(this.server);
+    return closeServer(this.server, this.openResponses, this.options.closeGraceMs);
   }
 
   reply(exchangeId: string, status: number, body: string): void {
--- a/packages/shell/src/callers/__tests__/callerServer.test.ts
+++ b/packages/shell/src/callers/__tests__/callerServer.test.ts
@@ -15,8 +15,8 @@
 
 async function startServer(context: TestContext, options: Partial<ShellOptions> = {}) {
   const sink = new RecordingSink();
-  const server = new CallerServer(sink, { ...DEFAULT_SHELL_OPTIONS, ...options });
-  context.after(() => server.close());
+  const server = new CallerServer(sink, { ...DEFAULT_SHELL_OPTIONS, closeGraceMs: 2_000, ...options });
+  context.after(() => server.close().catch(() => undefined));
   return { sink, server, address: await server.listen('127.0.0.1:0') };
 }
 
@@ -123,6 +123,18 @@
   socket.destroy();
 });
 
+test('an answer under way arrives whole although the server closes (cut off by a shutdown)', async (context) => {
+  const { sink, server, address } = await startServer(context);
+  const answer = fetch(`http://${address}/v1/entry`);
+  const { exchangeId } = await sink.next(EventKind.CallerArrived);
+  const sizeBytes = 8_000_000;
+  server.exchange(exchangeId)?.start(200, { 'Content-Type': 'text/plain' });
+  server.exchange(exchangeId)?.end('x'.repeat(sizeBytes));
+  const closed = server.close();
+  assert.equal((await (await answer).text()).length, sizeBytes);
+  await closed;
+});
+
 test('a problem after the start of a stream ends it as an error event', async (context) => {
   const { sink, server, address } = await startServer(context);
   const answer = fetch(`http://${address}/v1/entry`);
--- a/packages/shell/src/callers/callerServer.ts
+++ b/packages/shell/src/callers/callerServer.ts
@@ -1,11 +1,11 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Problem } from '@pimentostall/core';
-import { EventKind } from '@pimentostall/core';
+import { EventKind, RefusalReason, Verdict } from '@pimentostall/core';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { createBoundedServer } from '../http/createBoundedServer.ts';
-import { closeServer, listen } from '../http/listen.ts';
+import { closeServer, listen, trackOpenResponses } from '../http/listen.ts';
 import { bodyProblem, malformed, problemBody, problemHeaders } from '../http/problems.ts';
 import { readBody } from '../http/readBody.ts';
 import type { ShellOptions } from '../options.ts';
@@ -15,10 +15,22 @@
 import { parseCallerRequest } from './parseCallerRequest.ts';
 import { parseTarget } from './parseTarget.ts';
 
+const DRAINING: Problem = {
+  status: 503,
+  title: 'Draining',
+  detail: 'This router is stopping. Ask /v1/entry of another address.',
+  reason: RefusalReason.Draining,
+  verdict: Verdict.DidNotRun,
+  requestId: undefined,
+  retryAfterSeconds: 1,
+};
+
 /** The HTTP server towards callers. */
 export class CallerServer {
+  private closing = false;
   private readonly exchanges = new Map<string, CallerExchange>();
   private readonly server: Server;
+  private readonly openResponses: ReadonlySet<ServerResponse>;
 
   constructor(
     private readonly sink: EventSink,
@@ -27,14 +39,17 @@
     this.server = createBoundedServer(options, (request, response) => {
       void this.serve(request, response);
     });
+    this.openResponses = trackOpenResponses(this.server);
   }
 
   listen(address: string): Promise<string> {
     return listen(this.server, address);
   }
 
+  /** Lets open answers finish; requests that still arrive are refused. */
   close(): Promise<void> {
-    return closeServer(this.server);
+    this.closing = true;
+    return closeServer(this.server, this.openResponses, this.options.closeGraceMs);
   }
 
   /** The exchange under way; undefined once the caller is gone. */
@@ -43,6 +58,10 @@
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.closing) {
+      refuse(request, response, DRAINING);
+      return;
+    }
     try {
       const parsed = await this.readRequest(request);
       if (parsed.isErr()) {
--- a/packages/shell/src/http/clientErrors.ts
+++ b/packages/shell/src/http/clientErrors.ts
@@ -1,4 +1,4 @@
-import type { Server } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { Problem } from '@pimentostall/core';
 import { malformed, PROBLEM_CONTENT_TYPE, problemBody } from './problems.ts';
@@ -16,8 +16,15 @@
 
 /** Answers requests that Node's HTTP parser rejects with problem details and closes their connection. */
 export function answerClientErrors(server: Server): void {
+  const responses = new WeakMap<Duplex, ServerResponse>();
+  server.on('request', (request, response) => {
+    responses.set(request.socket, response);
+  });
   server.on('clientError', (cause: NodeJS.ErrnoException, socket: Duplex) => {
-    if (!socket.writable || cause.code === 'ECONNRESET') {
+    const response = responses.get(socket);
+    // A problem written into an answer under way would be taken for a part of it.
+    const answering = response !== undefined && response.headersSent && !response.writableFinished;
+    if (!socket.writable || cause.code === 'ECONNRESET' || answering) {
       socket.destroy();
       return;
     }
--- a/packages/shell/src/http/listen.ts
+++ b/packages/shell/src/http/listen.ts
@@ -1,5 +1,6 @@
-import type { Server } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { splitAddress } from '../addresses.ts';
 
 /** Starts listening and returns the bound address; rejects if the address cannot be bound. */
@@ -15,9 +16,32 @@
   });
 }
 
-/** Closes the listening socket and every connection. */
-export function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
+const OPEN_CHECK_MS = 20;
+
+/** Responses that are not yet written as a whole. */
+export function trackOpenResponses(server: Server): ReadonlySet<ServerResponse> {
+  const open = new Set<ServerResponse>();
+  server.on('request', (_request, response) => {
+    open.add(response);
+    response.on('close', () => open.delete(response));
+  });
+  return open;
+}
+
+/**
+ * Waits up to `graceMs` for open responses, then closes the server. Node's `close` alone would cut off responses
+ * that were ended but are still in the buffer of a slow connection.
+ */
+export async function closeServer(
+  server: Server,
+  open: ReadonlySet<ServerResponse>,
+  graceMs: number,
+): Promise<void> {
+  const limitMs = performance.now() + graceMs;
+  while (open.size > 0 && performance.now() < limitMs) {
+    await sleep(OPEN_CHECK_MS);
+  }
+  await new Promise<void>((resolve) => {
     server.close(() => {
       resolve();
     });
--- a/packages/shell/src/options.ts
+++ b/packages/shell/src/options.ts
@@ -16,6 +16,8 @@
   /** A caller with more unsent bytes than this is disconnected. Reached only by callers that share a stream. */
   readonly maxUnsentBytes: number;
   readonly maxConnections: number;
+  /** After the core's exit, answers and messages that are still being written get this long to finish. */
+  readonly closeGraceMs: number;
   /** Below `pauseLimitMs`, so that a slow connection is not taken for a pause. */
   readonly connectTimeoutMs: number;
   /** Longest answer of a plain service or of the platform. */
@@ -43,6 +45,7 @@
   stallTimeoutMs: 30_000,
   maxUnsentBytes: MIB,
   maxConnections: 4_096,
+  closeGraceMs: 5_000,
   connectTimeoutMs: 1_000,
   maxAnswerBytes: 16 * MIB,
   maxStreamEventBytes: 256 * KIB,
--- a/packages/shell/src/peers/__tests__/peers.test.ts
+++ b/packages/shell/src/peers/__tests__/peers.test.ts
@@ -86,9 +86,7 @@
   const resolveAddress = (address: string): string => address;
   const setup = { sink, logger, resolveAddress, options: DEFAULT_SHELL_OPTIONS, sender: () => SENDER };
   const adapter = new PeerAdapter(setup);
-  context.after(() => {
-    adapter.close();
-  });
+  context.after(() => adapter.close());
   return { sink, adapter };
 }
 
--- a/packages/shell/src/peers/peerAdapter.ts
+++ b/packages/shell/src/peers/peerAdapter.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { ChannelOptions, sendUnaryData, ServerUnaryCall, UntypedHandleCall } from '@grpc/grpc-js';
 import { Client, credentials, Server, ServerCredentials, status } from '@grpc/grpc-js';
 import type { PeerMessage, PeerSender } from '@pimentostall/core';
@@ -11,6 +12,8 @@
 import { encodeEnvelope } from './encodeEnvelope.ts';
 import { PEER_SERVICE } from './peerService.ts';
 
+const FLIGHT_CHECK_MS = 20;
+
 interface PeerConnection {
   readonly client: Client;
   callsInFlight: number;
@@ -86,7 +89,12 @@
     );
   }
 
-  close(): void {
+  /** Waits for the messages under way, because a stopping router hands its last records to peers. */
+  async close(): Promise<void> {
+    const limitMs = performance.now() + this.setup.options.closeGraceMs;
+    while (this.hasCallsInFlight() && performance.now() < limitMs) {
+      await sleep(FLIGHT_CHECK_MS);
+    }
     for (const { client } of this.connections.values()) {
       client.close();
     }
@@ -94,6 +102,10 @@
     this.server.forceShutdown();
   }
 
+  private hasCallsInFlight(): boolean {
+    return [...this.connections.values()].some(({ callsInFlight }) => callsInFlight > 0);
+  }
+
   private connection(peerAddress: string): PeerConnection {
     const address = this.setup.resolveAddress(peerAddress);
     const known = this.connections.get(address);
--- a/packages/shell/src/startRouter.ts
+++ b/packages/shell/src/startRouter.ts
@@ -12,7 +12,7 @@
 import { executeEffect } from './executeEffect.ts';
 import { createLogger } from './logs.ts';
 import type { ShellOptions } from './options.ts';
-import { DEFAULT_SHELL_OPTIONS } from './options.ts';
+import { completeShellOptions } from './options.ts';
 import { PeerAdapter } from './peers/peerAdapter.ts';
 import { PlatformAdapter } from './platform/platformAdapter.ts';
 import { RouterLoop, SYSTEM_TIMERS } from './routerLoop.ts';
@@ -81,8 +81,8 @@
 }
 
 async function closeAdapters(adapters: Adapters): Promise<void> {
-  adapters.peers.close();
   await Promise.all([
+    adapters.peers.close(),
     adapters.callers.close(),
     adapters.administration.close(),
     adapters.upstreams.close(),
@@ -91,9 +91,12 @@
 }
 
 /** Starts a router: one core, its loop and all adapters. Rejects if an address cannot be bound. */
-export async function startRouter(settings: RouterSettings): Promise<RunningRouter> {
+export async function startRouter(
+  settings: RouterSettings,
+  shellOptions: Partial<ShellOptions> = {},
+): Promise<RunningRouter> {
   const { identity } = settings;
-  const options = DEFAULT_SHELL_OPTIONS;
+  const options = completeShellOptions(shellOptions)._unsafeUnwrap();
   const logger = createLogger(settings.logLevel, identity.routerId);
   const core = createCore(settings);
   let markExited = (): void => undefined;
