Close all addresses of a router whose start fails

A router that found its peer or administration address taken kept its caller server open, so the process reported an error but did not end. The start now binds all addresses or none, and the error says what to change.

--- a/packages/shell/src/startRouter.ts
+++ b/packages/shell/src/startRouter.ts
@@ -19,12 +19,15 @@
 import { systemRandom } from './systemRandom.ts';
 import { UpstreamAdapter } from './upstreams/upstreamAdapter.ts';
 
-export interface RunningRouter {
-  readonly logger: Logger;
-  /** Addresses as bound: settings with port 0 get a free port. */
+/** Addresses as bound: settings with port 0 get a free port. */
+interface BoundAddresses {
   readonly callerAddress: string;
   readonly peerAddress: string;
   readonly adminAddress: string;
+}
+
+export interface RunningRouter extends BoundAddresses {
+  readonly logger: Logger;
   /** Asks the core to drain; `exited` resolves when it has. */
   requestStop(): void;
   readonly exited: Promise<void>;
@@ -90,6 +93,21 @@
   ]);
 }
 
+/** Binds all addresses; if one fails, none stays open, so that the process can end. */
+async function listenAll(settings: RouterSettings, adapters: Adapters): Promise<BoundAddresses> {
+  try {
+    return {
+      callerAddress: await adapters.callers.listen(settings.identity.callerAddress),
+      peerAddress: await adapters.peers.listen(settings.identity.peerAddress),
+      adminAddress: await adapters.administration.listen(settings.adminAddress),
+    };
+  } catch (cause) {
+    await closeAdapters(adapters);
+    const detail = cause instanceof Error ? cause.message : String(cause);
+    throw new Error(`${detail}; give free addresses of this VM in the settings`, { cause });
+  }
+}
+
 /** Starts a router: one core, its loop and all adapters. Rejects if an address cannot be bound. */
 export async function startRouter(
   settings: RouterSettings,
@@ -118,13 +136,11 @@
     void closeAdapters(adapters).then(markExited);
   };
   const adapters: Adapters = createAdapters(settings, core, loop, options, { logger, exit });
-  const callerAddress = await adapters.callers.listen(identity.callerAddress);
-  const peerAddress = await adapters.peers.listen(identity.peerAddress);
-  const adminAddress = await adapters.administration.listen(settings.adminAddress);
+  const addresses = await listenAll(settings, adapters);
   loop.start();
-  logger.info({ callerAddress, peerAddress, adminAddress }, 'The router is listening');
+  logger.info(addresses, 'The router is listening');
   const requestStop = (): void => {
     loop.submit({ kind: EventKind.StopRequested });
   };
-  return { logger, callerAddress, peerAddress, adminAddress, requestStop, exited };
+  return { logger, ...addresses, requestStop, exited };
 }
