--- /dev/null
+++ b/packages/demo/src/callers/__tests__/callers.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { Verdict } from '@pimentostall/core';
+import { CallOutcome } from '../../auditor/types.ts';
+import type { AttemptResult } from '../attempt.ts';
+import { outcomeOf } from '../caller.ts';
+import { keyOfScopedIdentity, scopedIdentity } from '../identity.ts';
+import { readEventStream } from '../readEventStream.ts';
+
+function chunk(content: string): string {
+  return `data: ${JSON.stringify({ choices: [{ delta: { content } }] })}\n\n`;
+}
+
+describe('callers', () => {
+  it('takes a stream without its end mark as broken (a cut answer must not count as whole)', () => {
+    const body = chunk('a ') + chunk('b ');
+    assert.deepEqual(readEventStream(body), { kind: 'broken', text: 'a b ' });
+    assert.deepEqual(readEventStream(`${body}data: [DONE]\n\n`), { kind: 'done', text: 'a b ' });
+    assert.deepEqual(readEventStream(`${body}event: error\ndata: {}\n\n`), {
+      kind: 'problem',
+      text: 'a b ',
+      problem: '{}',
+    });
+  });
+
+  it('does not call a request "not run" after an attempt that may have run', () => {
+    const refused = (verdict: Verdict): AttemptResult => ({ kind: 'refused', verdict, reason: 'r' });
+    const broken: AttemptResult = { kind: 'broken', detail: 'reset' };
+    const notRun = refused(Verdict.DidNotRun);
+    assert.equal(outcomeOf([notRun, notRun]), CallOutcome.RefusedNotRun);
+    assert.equal(outcomeOf([broken, notRun]), CallOutcome.RefusedMayHaveRun);
+    assert.equal(outcomeOf([refused(Verdict.MayHaveRun), notRun]), CallOutcome.RefusedMayHaveRun);
+    assert.equal(outcomeOf([notRun, broken]), CallOutcome.NoAnswer);
+  });
+
+  it('finds the key of an identity again (otherwise every answer would look unbilled)', () => {
+    assert.equal(keyOfScopedIdentity(scopedIdentity('an org:x', 'key:1')), 'key:1');
+  });
+});
--- /dev/null
+++ b/packages/demo/src/callers/attempt.ts
@@ -0,0 +1,123 @@
+import { Verdict } from '@pimentostall/core';
+import { expectedAnswer, expectedOutputTokens } from '@pimentostall/standins';
+import type { Dispatcher } from 'undici';
+import { request } from 'undici';
+import { CallKind } from '../auditor/types.ts';
+import type { DemoOrganisation } from '../place/organisations.ts';
+import { PRICES } from '../place/prices.ts';
+import { scopedIdentity } from './identity.ts';
+import { readEventStream } from './readEventStream.ts';
+import type { Work } from './work.ts';
+
+/** What one attempt on one router gave. */
+export type AttemptResult =
+  | { readonly kind: 'answered' }
+  | { readonly kind: 'wrong'; readonly detail: string }
+  | { readonly kind: 'refused'; readonly verdict: Verdict; readonly reason: string }
+  /** No answer and no verdict: the connection could not be made or broke. */
+  | { readonly kind: 'broken'; readonly detail: string };
+
+const ATTEMPT_TIMEOUT_MS = 5_000;
+const REDIRECT_STATUS = 307;
+const MAX_REDIRECTS = 2;
+
+export async function attemptWork(
+  dispatcher: Dispatcher,
+  address: string,
+  organisation: DemoOrganisation,
+  work: Work,
+): Promise<AttemptResult> {
+  try {
+    return await follow(dispatcher, `http://${address}${work.path}`, organisation, work);
+  } catch (error) {
+    return { kind: 'broken', detail: error instanceof Error ? error.message : String(error) };
+  }
+}
+
+async function follow(
+  dispatcher: Dispatcher,
+  firstUrl: string,
+  organisation: DemoOrganisation,
+  work: Work,
+): Promise<AttemptResult> {
+  let url = firstUrl;
+  for (let redirectCount = 0; redirectCount <= MAX_REDIRECTS; redirectCount += 1) {
+    const response = await send(dispatcher, url, organisation, work);
+    const text = await response.body.text();
+    if (response.statusCode !== REDIRECT_STATUS) {
+      return judge(response.statusCode, text, organisation, work);
+    }
+    const location = response.headers.location;
+    url = new URL(typeof location === 'string' ? location : '', url).href;
+  }
+  return { kind: 'broken', detail: `more than ${MAX_REDIRECTS} redirects` };
+}
+
+function send(
+  dispatcher: Dispatcher,
+  url: string,
+  organisation: DemoOrganisation,
+  work: Work,
+): Promise<Dispatcher.ResponseData> {
+  return request(url, {
+    dispatcher,
+    method: work.method,
+    headers: {
+      authorization: `Bearer ${organisation.bearerKey}`,
+      'idempotency-key': work.key,
+      ...(work.body === undefined ? {} : { 'content-type': 'application/json' }),
+    },
+    body: work.body ?? null,
+    signal: AbortSignal.timeout(ATTEMPT_TIMEOUT_MS),
+  });
+}
+
+function judge(status: number, text: string, organisation: DemoOrganisation, work: Work): AttemptResult {
+  if (status !== 200) {
+    return readProblem(text, `status ${status}`);
+  }
+  return work.kind === CallKind.Chat
+    ? judgeChat(text, organisation, work)
+    : judgeService(text, organisation, work);
+}
+
+function judgeChat(body: string, organisation: DemoOrganisation, work: Work): AttemptResult {
+  const end = readEventStream(body);
+  switch (end.kind) {
+    case 'problem':
+      return readProblem(end.problem, 'error event');
+    case 'broken':
+      return { kind: 'broken', detail: 'the stream ended without its end mark' };
+    case 'done': {
+      const identity = scopedIdentity(organisation.organisationId, work.key);
+      const tokens = expectedOutputTokens(identity, PRICES.maxOutputTokens);
+      return end.text === expectedAnswer(identity, tokens)
+        ? { kind: 'answered' }
+        : { kind: 'wrong', detail: `text "${end.text.slice(0, 60)}" is not the answer to this request` };
+    }
+  }
+}
+
+function judgeService(body: string, organisation: DemoOrganisation, work: Work): AttemptResult {
+  const answer = parseObject(body);
+  return answer?.key === scopedIdentity(organisation.organisationId, work.key)
+    ? { kind: 'answered' }
+    : { kind: 'wrong', detail: `body "${body.slice(0, 80)}" is not the answer to this request` };
+}
+
+function readProblem(text: string, fallback: string): AttemptResult {
+  const problem = parseObject(text);
+  const verdict = Object.values(Verdict).find((candidate) => candidate === problem?.verdict);
+  const reason = typeof problem?.reason === 'string' ? problem.reason : fallback;
+  return verdict === undefined
+    ? { kind: 'broken', detail: `${fallback} without a verdict` }
+    : { kind: 'refused', verdict, reason };
+}
+
+function parseObject(text: string): Record<string, unknown> | undefined {
+  try {
+    return JSON.parse(text) as Record<string, unknown>;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/demo/src/callers/caller.ts
@@ -0,0 +1,122 @@
+import type { RandomSource } from '@pimentostall/core';
+import { Verdict } from '@pimentostall/core';
+import type { Dispatcher } from 'undici';
+import type { CallRecord } from '../auditor/types.ts';
+import { CallOutcome } from '../auditor/types.ts';
+import type { DemoOrganisation } from '../place/organisations.ts';
+import type { Place } from '../place/places.ts';
+import type { AttemptResult } from './attempt.ts';
+import { attemptWork } from './attempt.ts';
+import type { EntryCache } from './entryCache.ts';
+import type { Work } from './work.ts';
+import { nextWork } from './work.ts';
+
+const MAX_ATTEMPTS = 6;
+const FIRST_RETRY_WAIT_MS = 150;
+const THINK_MS = 120;
+/** A refusal for money needs no quick retry: more attempts would only load the routers. */
+const BUDGET_REASON = 'budget-exhausted';
+const BUDGET_WAIT_MS = 400;
+
+export interface CallerSetup {
+  readonly name: string;
+  readonly place: Place;
+  readonly organisation: DemoOrganisation;
+  readonly dispatcher: Dispatcher;
+  readonly entry: EntryCache;
+  readonly random: RandomSource;
+  readonly record: (call: CallRecord) => void;
+}
+
+/** Sends one request after another until the end of traffic; the last one is always finished. */
+export async function runCaller(setup: CallerSetup, endMs: number): Promise<void> {
+  for (let count = 1; Date.now() < endMs; count += 1) {
+    const work = nextWork(setup.place, setup.organisation, `${setup.name}.${count}`, setup.random);
+    const call = await complete(setup, work);
+    setup.record(call);
+    const isRefused = call.outcome !== CallOutcome.Answered;
+    await pause((isRefused ? BUDGET_WAIT_MS : THINK_MS) * (0.5 + setup.random()));
+  }
+}
+
+/** Tries a request with the same key until it has an answer or a final refusal, a bounded number of times. */
+async function complete(setup: CallerSetup, work: Work): Promise<CallRecord> {
+  const startedAtMs = Date.now();
+  const results: AttemptResult[] = [];
+  while (results.length < MAX_ATTEMPTS && !isFinal(results.at(-1))) {
+    if (results.length > 0) {
+      setup.entry.forget();
+      await pause(FIRST_RETRY_WAIT_MS * 2 ** (results.length - 1));
+    }
+    results.push(await attempt(setup, work, results.length));
+  }
+  return {
+    organisationId: setup.organisation.organisationId,
+    key: work.key,
+    kind: work.kind,
+    worstCaseMicros: work.worstCaseMicros,
+    startedAtMs,
+    endedAtMs: Date.now(),
+    outcome: outcomeOf(results),
+    detail: detailOf(results.at(-1)),
+    attemptCount: results.length,
+  };
+}
+
+/** Each attempt goes to the next address of the entry answer. */
+async function attempt(setup: CallerSetup, work: Work, index: number): Promise<AttemptResult> {
+  const addresses = await setup.entry.addresses(Date.now());
+  const address = addresses[index % Math.max(1, addresses.length)];
+  if (address === undefined) {
+    return { kind: 'refused', verdict: Verdict.DidNotRun, reason: 'no-entry-answer' };
+  }
+  return attemptWork(setup.dispatcher, address, setup.organisation, work);
+}
+
+function isFinal(result: AttemptResult | undefined): boolean {
+  switch (result?.kind) {
+    case 'answered':
+    case 'wrong':
+      return true;
+    case 'refused':
+      return result.reason === BUDGET_REASON;
+    case 'broken':
+    case undefined:
+      return false;
+  }
+}
+
+/** "Did not run" holds for the request only if it holds for every attempt: an earlier one may have run. */
+export function outcomeOf(results: readonly AttemptResult[]): CallOutcome {
+  const last = results.at(-1);
+  switch (last?.kind) {
+    case 'answered':
+      return CallOutcome.Answered;
+    case 'wrong':
+      return CallOutcome.WrongAnswer;
+    case 'refused':
+      return results.every((result) => result.kind === 'refused' && result.verdict === Verdict.DidNotRun)
+        ? CallOutcome.RefusedNotRun
+        : CallOutcome.RefusedMayHaveRun;
+    case 'broken':
+    case undefined:
+      return CallOutcome.NoAnswer;
+  }
+}
+
+function detailOf(result: AttemptResult | undefined): string {
+  switch (result?.kind) {
+    case 'refused':
+      return result.reason;
+    case 'wrong':
+    case 'broken':
+      return result.detail;
+    case 'answered':
+    case undefined:
+      return '';
+  }
+}
+
+async function pause(durationMs: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/demo/src/fleet/collectEvidence.ts
@@ -0,0 +1,93 @@
+import type { TableRow } from '@pimentostall/core';
+import type {
+  BillEntry,
+  BudgetState,
+  CallRecord,
+  Evidence,
+  Funding,
+  ShareAmounts,
+} from '../auditor/types.ts';
+import { CallOutcome } from '../auditor/types.ts';
+import { keyOfScopedIdentity } from '../callers/identity.ts';
+import type { FleetPlan } from '../place/fleetPlan.ts';
+import { PRICES } from '../place/prices.ts';
+import { engineAudit, scanRows, serviceAudit } from './standInClient.ts';
+
+/** The money rows of the table in the form that the auditor reads. */
+export interface MoneyRows {
+  readonly bills: readonly BillEntry[];
+  readonly budgets: readonly BudgetState[];
+  readonly shares: readonly ShareAmounts[];
+}
+
+interface BillValue {
+  readonly settled: readonly { readonly requestId: string; readonly amountMicros: number }[];
+}
+
+const BILL_ROW = /^bill\/([^/]+)\//;
+const BUDGET_ROW = /^budget\/([^/]+)$/;
+const SHARE_ROW = /^share\/([^/]+)\//;
+
+function organisationOf(pattern: RegExp, row: TableRow): string {
+  return decodeURIComponent(pattern.exec(row.key)?.[1] ?? '');
+}
+
+function billEntries(row: TableRow): BillEntry[] {
+  const organisationId = organisationOf(BILL_ROW, row);
+  const { settled } = row.value as unknown as BillValue;
+  return settled.map(({ requestId, amountMicros }) => {
+    return { organisationId, key: keyOfScopedIdentity(requestId), amountMicros };
+  });
+}
+
+export async function readMoneyRows(platformAddress: string): Promise<MoneyRows> {
+  const [bills, budgets, shares] = await Promise.all(
+    ['bill/', 'budget/', 'share/'].map((prefix) => scanRows(platformAddress, prefix)),
+  );
+  return {
+    bills: (bills ?? []).flatMap(billEntries),
+    budgets: (budgets ?? []).map((row) => ({
+      ...(row.value as unknown as Omit<BudgetState, 'organisationId'>),
+      organisationId: organisationOf(BUDGET_ROW, row),
+    })),
+    shares: (shares ?? []).map((row) => ({
+      ...(row.value as unknown as Omit<ShareAmounts, 'organisationId'>),
+      organisationId: organisationOf(SHARE_ROW, row),
+    })),
+  };
+}
+
+function byKey<T>(requests: Readonly<Record<string, T>>): Record<string, T> {
+  const entries = Object.entries(requests);
+  return Object.fromEntries(entries.map(([identity, entry]) => [keyOfScopedIdentity(identity), entry]));
+}
+
+/** Collects the records of the stand-ins and joins them with those of the callers. */
+export async function collectEvidence(
+  plan: FleetPlan,
+  funding: readonly Funding[],
+  calls: readonly CallRecord[],
+): Promise<Evidence> {
+  const [money, engines, services] = await Promise.all([
+    readMoneyRows(plan.platformAddress),
+    Promise.all(plan.engines.map(({ address }) => engineAudit(address))),
+    Promise.all(plan.services.map(({ address }) => serviceAudit(address))),
+  ]);
+  return {
+    ...money,
+    funding,
+    calls,
+    engines: engines.map(byKey),
+    services: services.map(byKey),
+    prices: PRICES,
+    // The demo takes no engine down.
+    engineUpAt: () => true,
+  };
+}
+
+/** Answered requests that have no bill yet. */
+export function unbilledCount(money: MoneyRows, calls: readonly CallRecord[]): number {
+  const billed = new Set(money.bills.map(({ key }) => key));
+  const answered = calls.filter(({ outcome }) => outcome === CallOutcome.Answered);
+  return answered.filter(({ key }) => !billed.has(key)).length;
+}
