Answer a missing Host and an unknown Expect with problem details

Node refuses both by itself with an empty body and no verdict; sending raw bytes to the running binary showed it. The adapter now refuses them like other malformed requests. The gRPC library's plain lines on standard error are off.

--- a/packages/shell/src/callers/__tests__/callerServer.test.ts
+++ b/packages/shell/src/callers/__tests__/callerServer.test.ts
@@ -81,7 +81,7 @@
 test('a path that a service may resolve differently is refused (an order matched as a lookup)', () => {
   for (const path of ['/a/../b', '/a/%2e%2E/b', '/a/.%2e', '/./b', '/a%2fb', '/a%5Cb', '/a\\b']) {
     const target = `/v1/services/orders${path}`;
-    const parsed = parseCallerRequest({ method: 'GET', target, headers: {}, body: '' });
+    const parsed = parseCallerRequest({ method: 'GET', target, headers: { host: 'x' }, body: '' });
     assert.ok(parsed.isErr(), path);
   }
 });
@@ -89,6 +89,13 @@
 test('bytes that are not HTTP and oversized headers are answered as problems', async (context) => {
   const { address } = await startServer(context);
   assert.match(await sendRaw(address, 'nonsense\r\n\r\n'), /^HTTP\/1\.1 400 .*did-not-run/s);
+  const close = 'Connection: close\r\n\r\n';
+  assert.match(
+    await sendRaw(address, `GET /v1/health HTTP/1.1\r\n${close}`),
+    / 400 .*Missing Host.*did-not-run/s,
+  );
+  const expecting = `GET /v1/health HTTP/1.1\r\nHost: x\r\nExpect: y\r\n${close}`;
+  assert.match(await sendRaw(address, expecting), / 417 .*did-not-run/s);
   const header = `X: ${'x'.repeat(20_000)}`;
   assert.match(
     await sendRaw(address, `GET / HTTP/1.1\r\n${header}\r\n\r\n`),
@@ -141,7 +148,7 @@
   const { exchangeId } = await sink.next(EventKind.CallerArrived);
   const exchange = server.exchange(exchangeId);
   exchange?.start(200, { 'Content-Type': 'text/event-stream' });
-  const parsed = parseCallerRequest({ method: 'GET', target: '/x', headers: {}, body: '' });
+  const parsed = parseCallerRequest({ method: 'GET', target: '/x', headers: { host: 'x' }, body: '' });
   exchange?.endWithProblem(parsed._unsafeUnwrapErr());
   assert.match(await (await answer).text(), /^event: error\ndata: \{.*"did-not-run".*\}\n\n$/);
 });
@@ -164,7 +171,11 @@
     fc.webPath().map((path) => `/v1/services/orders${path}`),
   );
   const method = fc.constantFrom('GET', 'POST', 'PUT', 'TRACE', '');
-  const headers = fc.record({ authorization: fc.string(), 'idempotency-key': fc.string() });
+  const headers = fc.record({
+    host: fc.constant('x'),
+    authorization: fc.string(),
+    'idempotency-key': fc.string(),
+  });
   fc.assert(
     fc.property(method, target, headers, chatBody, (m, t, h, body) => {
       const result = parseCallerRequest({ method: m, target: t, headers: h, body });
--- a/packages/shell/src/callers/parseCallerRequest.ts
+++ b/packages/shell/src/callers/parseCallerRequest.ts
@@ -57,9 +57,21 @@
   }
 }
 
+/** What HTTP/1.1 itself asks of a request's headers. */
+function checkHeaders(headers: IncomingHttpHeaders): Result<undefined, Problem> {
+  if (headers.host === undefined) {
+    return err(malformed(400, 'Missing Host', 'Send the header Host, as HTTP/1.1 requires.'));
+  }
+  if (headers.expect !== undefined && headers.expect.toLowerCase() !== '100-continue') {
+    return err(malformed(417, 'Unknown expectation', 'Send the request without the header Expect.'));
+  }
+  return ok(undefined);
+}
+
 /** Checks a caller's request and turns it into what the core understands. */
 export function parseCallerRequest(raw: RawCallerRequest): Result<ParsedCallerRequest, Problem> {
-  return parseTarget(raw.method, raw.target).andThen(({ route, redirected }) =>
+  const target = checkHeaders(raw.headers).andThen(() => parseTarget(raw.method, raw.target));
+  return target.andThen(({ route, redirected }) =>
     parseIdempotencyKey(raw.headers).andThen((idempotencyKey) =>
       parseRequest(route, raw).map((request) => ({
         request,
--- a/packages/shell/src/http/createBoundedServer.ts
+++ b/packages/shell/src/http/createBoundedServer.ts
@@ -11,9 +11,12 @@
       headersTimeout: options.headersTimeoutMs,
       requestTimeout: options.requestTimeoutMs,
       keepAliveTimeout: options.keepAliveTimeoutMs,
+      // Node refuses these without problem details; the listener refuses them with them.
+      requireHostHeader: false,
     },
     listener,
   );
+  server.on('checkExpectation', listener);
   server.maxConnections = options.maxConnections;
   answerClientErrors(server);
   return server;
--- a/packages/shell/src/peers/peerAdapter.ts
+++ b/packages/shell/src/peers/peerAdapter.ts
@@ -1,6 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { ChannelOptions, sendUnaryData, ServerUnaryCall, UntypedHandleCall } from '@grpc/grpc-js';
-import { Client, credentials, Server, ServerCredentials, status } from '@grpc/grpc-js';
+import {
+  Client,
+  credentials,
+  logVerbosity,
+  Server,
+  ServerCredentials,
+  setLogVerbosity,
+  status,
+} from '@grpc/grpc-js';
 import type { PeerMessage, PeerSender } from '@pimentostall/core';
 import { EventKind } from '@pimentostall/core';
 import type { Logger } from 'pino';
@@ -14,6 +22,9 @@
 
 const FLIGHT_CHECK_MS = 20;
 
+// The library writes plain lines to standard error; its failures reach the log through the adapter.
+setLogVerbosity(logVerbosity.NONE);
+
 interface PeerConnection {
   readonly client: Client;
   callsInFlight: number;
