--- a/packages/shell/src/options.ts
+++ b/packages/shell/src/options.ts
@@ -30,6 +30,8 @@
   readonly maxPeerMessageBytes: number;
   /** Messages to one peer that may wait for their acknowledgement; further ones are dropped. */
   readonly maxPeerCallsInFlight: number;
+  /** Above this, connections without calls are closed. Twice the largest fleet that is planned for. */
+  readonly maxPeerConnections: number;
 }
 
 const KIB = 1024;
@@ -54,6 +56,7 @@
   peerTimeoutMs: 2_000,
   maxPeerMessageBytes: 4 * MIB,
   maxPeerCallsInFlight: 256,
+  maxPeerConnections: 700,
 };
 
 /** Completes options with the defaults; every limit must be a positive number. */
--- a/packages/shell/src/peers/peerAdapter.ts
+++ b/packages/shell/src/peers/peerAdapter.ts
@@ -123,12 +123,26 @@
     if (known !== undefined) {
       return known;
     }
+    this.closeIdleConnections();
     const client = new Client(address, credentials.createInsecure(), this.channelOptions);
     const connection = { client, callsInFlight: 0 };
     this.connections.set(address, connection);
     return connection;
   }
 
+  /** Addresses of replaced VMs would otherwise stay connected for ever; a peer in use reconnects. */
+  private closeIdleConnections(): void {
+    if (this.connections.size < this.setup.options.maxPeerConnections) {
+      return;
+    }
+    for (const [address, { client, callsInFlight }] of this.connections) {
+      if (callsInFlight === 0) {
+        client.close();
+        this.connections.delete(address);
+      }
+    }
+  }
+
   private receive(bytes: Buffer, reply: sendUnaryData<undefined>): void {
     try {
       const { sender, message } = decodeEnvelope(bytes);
