--- a/packages/shell/src/peers/peerAdapter.ts
+++ b/packages/shell/src/peers/peerAdapter.ts
@@ -1,6 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { ChannelOptions, sendUnaryData, ServerUnaryCall, UntypedHandleCall } from '@grpc/grpc-js';
-import { Client, credentials, Server, ServerCredentials, status } from '@grpc/grpc-js';
+import {
+  Client,
+  credentials,
+  logVerbosity,
+  Server,
+  ServerCredentials,
+  setLogVerbosity,
+  status,
+} from '@grpc/grpc-js';
 import type { PeerMessage, PeerSender } from '@pimentostall/core';
 import { EventKind } from '@pimentostall/core';
 import type { Logger } from 'pino';
@@ -14,6 +22,9 @@
 
 const FLIGHT_CHECK_MS = 20;
 
+// The library writes plain lines to standard error; its failures reach the log through the adapter.
+setLogVerbosity(logVerbosity.NONE);
+
 interface PeerConnection {
   readonly client: Client;
   callsInFlight: number;
@@ -112,12 +123,26 @@
     if (known !== undefined) {
       return known;
     }
+    this.closeIdleConnections();
     const client = new Client(address, credentials.createInsecure(), this.channelOptions);
     const connection = { client, callsInFlight: 0 };
     this.connections.set(address, connection);
     return connection;
   }
 
+  /** Addresses of replaced VMs would otherwise stay connected for ever; a peer in use reconnects. */
+  private closeIdleConnections(): void {
+    if (this.connections.size < this.setup.options.maxPeerConnections) {
+      return;
+    }
+    for (const [address, { client, callsInFlight }] of this.connections) {
+      if (callsInFlight === 0) {
+        client.close();
+        this.connections.delete(address);
+      }
+    }
+  }
+
   private receive(bytes: Buffer, reply: sendUnaryData<undefined>): void {
     try {
       const { sender, message } = decodeEnvelope(bytes);
