Add the check and config commands

The command line had no commands. check says whether a file is router settings or a configuration document and prints located faults. config get, diff, apply and bootstrap talk to the administration API and, for bootstrap, to the platform. A lost answer is repeated with the same change identifier; bootstrap recognises its own revision. The option parser rewrites texts that look like numbers, so a numeric change identifier is refused.

--- /dev/null
+++ b/packages/cli/src/commands/__tests__/config.test.ts
@@ -0,0 +1,151 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import os from 'node:os';
+import path from 'node:path';
+import { test } from 'node:test';
+import cac from 'cac';
+import { ExitCode } from '../../commandOutcome.ts';
+import { checkFile } from '../check.ts';
+import { registerConfig, runConfig } from '../config.ts';
+
+const folder = mkdtempSync(path.join(os.tmpdir(), 'pimentostall-cli-'));
+
+function write(name: string, text: string): string {
+  const file = path.join(folder, name);
+  writeFileSync(file, text);
+  return file;
+}
+
+type Handler = (url: string, body: string, response: ServerResponse) => void;
+
+/** Answers on a loopback port while the body of a test runs. */
+async function serve(handler: Handler, body: (address: string) => Promise<void>): Promise<void> {
+  const server = createServer((request: IncomingMessage, response) => {
+    let text = '';
+    request.on('data', (data: Buffer) => (text += data.toString()));
+    request.on('end', () => {
+      handler(request.url ?? '', text, response);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  try {
+    await body(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  } finally {
+    server.closeAllConnections();
+    server.close();
+  }
+}
+
+// Guards against a check that takes a misspelt document for settings, or ends with success for a fault.
+test('check says what it checked and fails with located faults', () => {
+  assert.equal(checkFile(write('ok.yaml', 'classes: []\n')).exitCode, ExitCode.Success);
+  const bad = checkFile(write('bad.yaml', 'classes:\n  - { clasId: x }\n'));
+  assert.equal(bad.exitCode, ExitCode.Failure);
+  assert.match(
+    bad.errors,
+    /invalid configuration document\n[^]*bad\.yaml:2:7 classes\[0\]\.clasId: .*"classId"/,
+  );
+  assert.match(checkFile(write('r.yaml', 'routerId: a b\n')).errors, /invalid router settings/);
+  assert.equal(checkFile(path.join(folder, 'none.yaml')).exitCode, ExitCode.Failure);
+});
+
+// Guards against a change applied twice or given up because one answer was lost.
+test('apply repeats a change with the same identifier after a lost answer', async () => {
+  const seen: string[] = [];
+  const handler: Handler = (url, body, response) => {
+    seen.push(`${url} ${body}`);
+    if (seen.length === 1) {
+      response.destroy();
+      return;
+    }
+    response.end(JSON.stringify({ revision: 4, version: 3 }));
+  };
+  await serve(handler, async (address) => {
+    const options = { admin: [address], section: ['classes'], base: ['2'], changeId: ['c7'] };
+    const file = write('doc.yaml', 'rules: []\nclasses:\n  - a\n');
+    const outcome = await runConfig('apply', file, options, 'key');
+    assert.equal(outcome.output, 'classes: version 3, revision 4');
+  });
+  const sent = '/v1/config/sections/classes?baseVersion=2&changeId=c7   - a\n';
+  assert.deepEqual(seen, [sent, sent]);
+});
+
+// Guards against faults that point into the section although the operator edits the whole document.
+test('apply locates the faults of the router in the file', async () => {
+  const fault = { section: 'classes', line: 1, column: 3, field: 'classes[0]', expected: 'x', advice: 'y' };
+  const handler: Handler = (_url, _body, response) => {
+    response.writeHead(422).end(JSON.stringify({ faults: [fault] }));
+  };
+  await serve(handler, async (address) => {
+    const options = { admin: [address], section: ['classes'], base: ['2'] };
+    const file = write('doc2.yaml', 'rules: []\nclasses:\n  - a\n');
+    const outcome = await runConfig('apply', file, options, 'key');
+    assert.equal(outcome.exitCode, ExitCode.Failure);
+    assert.equal(outcome.errors, `${file}:3:3 classes[0]: expected x; y`);
+  });
+});
+
+// Guards against a second bootstrap over a living configuration, and against failure told of a first that took effect.
+test('bootstrap refuses an existing revision and finds its own after a lost answer', async () => {
+  let stored: unknown;
+  const handler: Handler = (url, body, response) => {
+    if (url === '/table/read') {
+      response.end(JSON.stringify({ rows: stored === undefined ? [] : [stored] }));
+    } else if (stored === undefined) {
+      stored = (JSON.parse(body) as { writes: unknown[] }).writes[0];
+      response.destroy();
+    } else {
+      response.writeHead(409).end('{"rows":[]}');
+    }
+  };
+  const operators = write(
+    'ops.yaml',
+    `- { operatorId: ana, keySha256: ${'0a'.repeat(32)}, sections: [rules] }\n`,
+  );
+  await serve(handler, async (address) => {
+    const run = () =>
+      runConfig(
+        'bootstrap',
+        write('b.yaml', 'rules: []\n'),
+        { platform: [address], operators: [operators] },
+        '',
+      );
+    assert.match((await run()).output, /answer of its commit was lost/);
+    assert.equal((await run()).exitCode, ExitCode.Failure);
+  });
+});
+
+// Guards against get and diff that an operator cannot feed back.
+test('get prints a document and diff the changed lines by section', async () => {
+  const sections = [{ name: 'classes', version: 2, text: '- a\n- b\n', changedBy: 'ana', changedAtMs: 0 }];
+  const handler: Handler = (_url, _body, response) => {
+    response.end(JSON.stringify({ revision: 1, sections }));
+  };
+  await serve(handler, async (address) => {
+    const options = { admin: [address] };
+    assert.equal((await runConfig('get', undefined, options, 'key')).output, 'classes:\n- a\n- b\n');
+    const diff = await runConfig('diff', write('d.yaml', 'classes:\n- a\n- c\n'), options, 'key');
+    assert.equal(diff.output, 'classes (version 2): changed\n- - b\n+ - c');
+    assert.equal((await runConfig('get', undefined, {}, 'key')).exitCode, ExitCode.Usage);
+    assert.equal((await runConfig('get', undefined, options, undefined)).exitCode, ExitCode.Usage);
+  });
+});
+
+// Guards against two change identifiers that the option parser rounds to the same number: the second change
+// would get the answer of the first and be lost.
+test('a change identifier that the option parser rewrites is refused', async () => {
+  const cli = cac('pimentostall');
+  registerConfig(cli);
+  for (const changeId of ['007', '1e5', '20261204055612345678']) {
+    const line = ['config', 'apply', 'f', '--section', 'rules', '--base', '1', '--change-id', changeId];
+    cli.parse(['node', 'pimentostall', ...line], { run: false });
+    const outcome = await runConfig('apply', 'f', cli.options, 'key');
+    assert.equal(outcome.exitCode, ExitCode.Usage);
+    assert.match(outcome.errors, /--change-id must not be a number/);
+  }
+  cli.parse(['node', 'pimentostall', 'config', 'get'], { run: false });
+  assert.match((await runConfig('get', undefined, cli.options, 'key')).errors, /--admin IP:PORT is missing/);
+});
--- /dev/null
+++ b/packages/cli/src/configuration/adminTarget.ts
@@ -0,0 +1,52 @@
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { CommandOutcome } from '../commandOutcome.ts';
+import { failure, usage } from '../commandOutcome.ts';
+import type { HttpAnswer } from '../httpClient.ts';
+import { callHttp } from '../httpClient.ts';
+
+/** The router that an operator talks to, and the operator's key. */
+export interface AdminTarget {
+  readonly address: string;
+  readonly key: string;
+}
+
+export function adminTarget(
+  address: string | undefined,
+  key: string | undefined,
+): Result<AdminTarget, CommandOutcome> {
+  if (address === undefined) {
+    return err(usage('Option --admin IP:PORT is missing: the administration address of any router.'));
+  }
+  if (key === undefined || key === '') {
+    return err(usage('Environment variable PIMENTOSTALL_KEY is not set: it holds the operator key.'));
+  }
+  return ok({ address, key });
+}
+
+/** A section as the administration API shows it. */
+export interface ShownSection {
+  readonly name: string;
+  readonly version: number;
+  readonly text: string;
+  readonly changedBy: string;
+  readonly changedAtMs: number;
+}
+
+export async function fetchSections(
+  target: AdminTarget,
+): Promise<Result<readonly ShownSection[], CommandOutcome>> {
+  const answer = await callHttp({ ...target, method: 'GET', path: '/v1/config' });
+  if (answer.isErr()) {
+    return err(failure(answer.error));
+  }
+  return answer.value.status === 200
+    ? ok(answer.value.body.sections as readonly ShownSection[])
+    : err(failure(describeProblem(answer.value)));
+}
+
+/** Prints problem details in one line. */
+export function describeProblem({ status, body }: HttpAnswer): string {
+  const { title = 'No details', detail = '', verdict = 'unknown' } = body;
+  return `${String(title)} (status ${status}, verdict ${String(verdict)}): ${String(detail)}`;
+}
--- /dev/null
+++ b/packages/cli/src/configuration/applySection.ts
@@ -0,0 +1,64 @@
+import type { ConfigurationFault } from '@pimentostall/core';
+import { formatFaults, splitSections } from '@pimentostall/settings';
+import type { CommandOutcome } from '../commandOutcome.ts';
+import { failure, success } from '../commandOutcome.ts';
+import type { HttpAnswer } from '../httpClient.ts';
+import { callHttp } from '../httpClient.ts';
+import { readTextFile } from '../readTextFile.ts';
+import type { AdminTarget } from './adminTarget.ts';
+import { describeProblem } from './adminTarget.ts';
+
+/** A change whose answer was lost is repeated with the same identifier, which cannot apply it twice. */
+const MAX_TRIES = 3;
+
+export interface ApplySetup {
+  readonly target: AdminTarget;
+  readonly file: string;
+  readonly section: string;
+  readonly baseVersion: number;
+  readonly changeId: string;
+}
+
+interface SectionSource {
+  readonly text: string;
+  readonly linesBefore: number;
+}
+
+/** Applies a section from a file that holds the section's list or the whole document. */
+export async function applySection(setup: ApplySetup): Promise<CommandOutcome> {
+  const read = readTextFile(setup.file);
+  if (read.isErr()) {
+    return read.error;
+  }
+  const source = findSection(read.value, setup.section);
+  const query = new URLSearchParams({ baseVersion: String(setup.baseVersion), changeId: setup.changeId });
+  const path = `/v1/config/sections/${encodeURIComponent(setup.section)}?${query.toString()}`;
+  let problem = '';
+  for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+    const answer = await callHttp({ ...setup.target, method: 'PUT', path, body: source.text });
+    if (answer.isOk() && answer.value.status !== 503) {
+      return describeAnswer(setup, source, answer.value);
+    }
+    problem = answer.isOk() ? describeProblem(answer.value) : answer.error;
+  }
+  return failure(`${problem}\nRepeat with --change-id ${setup.changeId}; it is applied at most once.`);
+}
+
+function findSection(text: string, name: string): SectionSource {
+  const split = splitSections(text).unwrapOr([]);
+  return split.find((section) => section.name.valueOf() === name) ?? { text, linesBefore: 0 };
+}
+
+function describeAnswer(setup: ApplySetup, source: SectionSource, answer: HttpAnswer): CommandOutcome {
+  if (answer.status === 200) {
+    const { revision, version } = answer.body;
+    return success(`${setup.section}: version ${String(version)}, revision ${String(revision)}`);
+  }
+  const faults = (answer.body.faults ?? []) as readonly ConfigurationFault[];
+  const located = faults.map((fault) =>
+    fault.section.valueOf() === setup.section
+      ? { ...fault, file: setup.file, line: fault.line + source.linesBefore }
+      : fault,
+  );
+  return failure(located.length > 0 ? formatFaults(located) : describeProblem(answer));
+}
--- /dev/null
+++ b/packages/cli/src/configuration/diffConfiguration.ts
@@ -0,0 +1,49 @@
+import { formatFaults, parseConfigurationDocument, splitSections } from '@pimentostall/settings';
+import type { CommandOutcome } from '../commandOutcome.ts';
+import { failure, success } from '../commandOutcome.ts';
+import { readTextFile } from '../readTextFile.ts';
+import type { AdminTarget, ShownSection } from './adminTarget.ts';
+import { fetchSections } from './adminTarget.ts';
+
+/** Prints what a document would change, by section. Sections that it does not name stay as they are. */
+export async function diffConfiguration(target: AdminTarget, file: string): Promise<CommandOutcome> {
+  const read = readTextFile(file);
+  if (read.isErr()) {
+    return read.error;
+  }
+  const split = splitSections(read.value, file);
+  if (split.isErr()) {
+    return failure(formatFaults(split.error));
+  }
+  const fetched = await fetchSections(target);
+  if (fetched.isErr()) {
+    return fetched.error;
+  }
+  const checked = parseConfigurationDocument(read.value, file);
+  const parts = split.value.map(({ name, text }) => {
+    const stored = fetched.value.find((section) => section.name === name.valueOf());
+    return describeChange(name, stored, text);
+  });
+  return success(parts.join('\n'), checked.isErr() ? formatFaults(checked.error) : '');
+}
+
+function describeChange(name: string, stored: ShownSection | undefined, text: string): string {
+  const heading = `${name} (version ${stored?.version ?? 0})`;
+  const lines = changedLines(stored?.text ?? '', text);
+  return lines.length === 0 ? `${heading}: unchanged` : [`${heading}: changed`, ...lines].join('\n');
+}
+
+/** The lines between the common start and the common end of both texts. */
+export function changedLines(before: string, after: string): string[] {
+  const removed = before.trimEnd().split('\n');
+  const added = after.trimEnd().split('\n');
+  while (removed.length > 0 && added.length > 0 && removed[0] === added[0]) {
+    removed.shift();
+    added.shift();
+  }
+  while (removed.length > 0 && added.length > 0 && removed.at(-1) === added.at(-1)) {
+    removed.pop();
+    added.pop();
+  }
+  return [...removed.map((line) => `- ${line}`), ...added.map((line) => `+ ${line}`)];
+}
--- /dev/null
+++ b/packages/cli/src/httpClient.ts
@@ -0,0 +1,41 @@
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { request } from 'undici';
+
+/** A change waits for several tries of the router at the store before it is answered. */
+const TIMEOUT_MS = 30_000;
+
+export interface HttpCall {
+  readonly method: 'GET' | 'PUT' | 'POST';
+  readonly address: string;
+  readonly path: string;
+  readonly key?: string;
+  readonly body?: string;
+}
+
+export interface HttpAnswer {
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+/** Calls a router or the platform; the error says why no answer came. */
+export async function callHttp(call: HttpCall): Promise<Result<HttpAnswer, string>> {
+  const { method, address, path, key, body } = call;
+  try {
+    const response = await request(`http://${address}${path}`, {
+      method,
+      body,
+      headers: key === undefined ? {} : { authorization: `Bearer ${key}` },
+      headersTimeout: TIMEOUT_MS,
+      bodyTimeout: TIMEOUT_MS,
+    });
+    const parsed: unknown = await response.body.json();
+    return ok({ status: response.statusCode, body: isObject(parsed) ? parsed : {} });
+  } catch (cause) {
+    return err(`No usable answer from ${address}: ${cause instanceof Error ? cause.message : String(cause)}`);
+  }
+}
+
+function isObject(value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export { registerCheck } from './commands/check.ts';
+export { registerConfig } from './commands/config.ts';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,3 +6,11 @@
 export type { RouterCoreSetup, StepResult } from './routerCore.ts';
 export { RouterCore } from './routerCore.ts';
 export * from './types/index.ts';
+export {
+  encodeSection,
+  findSectionName,
+  historyKey,
+  operatorKey,
+  REVISION_KEY,
+  sectionKey,
+} from './configuration/storedRows.ts';
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -6,3 +6,5 @@
 export { parseConfigurationSections } from './parseConfigurationSections.ts';
 export type { SplitSection } from './splitSections.ts';
 export { splitSections } from './splitSections.ts';
+export type { OperatorEntry } from './parseOperators.ts';
+export { parseOperators } from './parseOperators.ts';
--- /dev/null
+++ b/packages/settings/src/parseOperators.ts
@@ -0,0 +1,34 @@
+import { SectionName } from '@pimentostall/core';
+import type { Result } from 'neverthrow';
+import { z } from 'zod';
+import { checkSchema } from './checkSchema.ts';
+import type { SettingsFault } from './faults.ts';
+import { identifier, list, mapping, textField } from './schemaParts.ts';
+import { YamlSource } from './yamlSource.ts';
+
+/** An operator as the operators file of a bootstrap lists it. */
+export interface OperatorEntry {
+  readonly operatorId: string;
+  readonly keySha256: string;
+  readonly sections: readonly SectionName[];
+}
+
+const sectionNames = Object.values(SectionName).join(', ');
+
+const operatorsSchema = list(
+  mapping({
+    operatorId: identifier(),
+    keySha256: textField('a SHA-256 of 64 lower-case hexadecimal digits', /^[0-9a-f]{64}$/),
+    sections: list(z.enum(SectionName, { error: `one of the sections ${sectionNames}` })),
+  }),
+);
+
+/** Reads the operators of a new installation. */
+export function parseOperators(
+  text: string,
+  file: string,
+): Result<readonly OperatorEntry[], readonly SettingsFault[]> {
+  return checkSchema(new YamlSource(text), operatorsSchema, 'operators').mapErr((faults) =>
+    faults.map((fault) => ({ file, ...fault })),
+  );
+}
