--- a/packages/core/src/entry/__tests__/entryAddresses.test.ts
+++ b/packages/core/src/entry/__tests__/entryAddresses.test.ts
@@ -38,3 +38,15 @@
   board.routerState = RouterState.Draining;
   assert.deepEqual(answer(), []);
 });
+
+// Guards against a large organisation that is squeezed into the routers of a small one.
+test('the entry weight multiplies the number of addresses', () => {
+  const driver = new CoreDriver();
+  const { board } = driver.core;
+  [2, 3, 4, 5, 6, 7].forEach((number) => driver.hear(number));
+  const organisation = { organisationId: 'large', keySha256: [], entryWeight: 2.5 };
+  board.configuration = { organisationById: new Map([['large', organisation]]) } as never;
+  const context = { board, options: { peerTimeoutMs: 3_000, entryReplicas: 2 }, clock: { monotonicMs: 0 } };
+  assert.equal(entryAddresses(context as never, 'large').length, 5);
+  assert.equal(entryAddresses(context as never, 'other').length, 2);
+});
