--- a/packages/core/src/money/__tests__/fleet.ts
+++ b/packages/core/src/money/__tests__/fleet.ts
@@ -15,6 +15,7 @@
 import { RouterState } from '../../types/messages.ts';
 import type { TableTransaction } from '../../types/table.ts';
 import { TableOutcomeKind } from '../../types/table.ts';
+import { shareLevels } from '../returnAllShares.ts';
 import { reserve } from '../reserve.ts';
 import type { Reservation } from '../types.ts';
 import { TableFake } from './tableFake.ts';
@@ -142,7 +143,7 @@
         callerAddress: identity.callerAddress,
         configurationRevision: 1,
         openRequestCount: 0,
-        shareLevels: [],
+        shareLevels: shareLevels(peer.context),
         heardAtMs: this.nowMs,
       });
     }
