Read the own router row at an interval, and draw also beside a full settlement page

A router that no peer hears but that runs and reaches the store could go on spending from a share that was reclaimed meanwhile. It now reads its row every half fence wait and leaves the fenced incarnation before the reclaim ends. A full settlement page no longer keeps a draw from the same transaction: under load it would have starved waiting reservations.

--- a/packages/core/src/money/__tests__/reclaim.test.ts
+++ b/packages/core/src/money/__tests__/reclaim.test.ts
@@ -92,6 +92,20 @@
   assert.ok(reserveOn(fleet, a, 'next', 1));
 });
 
+test('a router that nobody hears but that reaches the store leaves its share before it is reclaimed', () => {
+  const { fleet, nodes } = fleetOf('a', 'b', 'c');
+  const [a] = nodes as [Node];
+  const fencedId = a.core.board.incarnationId;
+  assert.ok(reserveOn(fleet, a, 'open', 700));
+  unlist(fleet, a);
+  fleet.hears = (node, peer) => node !== a && peer !== a;
+  for (let waitedMs = 0; waitedMs < 120_000 && routerState(fleet, fencedId) !== 'gone'; waitedMs += 50) {
+    fleet.run(50, 50);
+  }
+  assert.equal(routerState(fleet, fencedId), 'gone');
+  assert.notEqual(a.core.board.incarnationId, fencedId);
+});
+
 test('a record that its owner and a copy holder both settle is charged once', () => {
   const { fleet, nodes } = fleetOf('a', 'b');
   const [a, b] = nodes as [Node, Node];
--- a/packages/core/src/money/planShare.ts
+++ b/packages/core/src/money/planShare.ts
@@ -1,5 +1,4 @@
 import type { CoreContext } from '../context.ts';
-import type { UsageRecord } from '../types/messages.ts';
 import { chooseDraw } from './chooseDraw.ts';
 import type { LedgerPage } from './ledgerPage.ts';
 import { availableMicros, horizonMs, shareOf, shareTargetMicros } from './shares.ts';
@@ -17,7 +16,7 @@
 }
 
 /** Adds a return or a draw to the page, as the share as read needs it. */
-export function planShare(context: CoreContext, page: LedgerPage, settled: readonly UsageRecord[]): void {
+export function planShare(context: CoreContext, page: LedgerPage): void {
   const share = shareOf(context, page.organisationId);
   // An earlier return without an answer is repeated on the row as read, so that at most one of the two commits.
   share.pendingReturnMicros = Math.max(share.pendingReturnMicros, returnableMicros(context, share));
@@ -25,7 +24,7 @@
     page.giveBack(context.board.incarnationId, share.pendingReturnMicros);
     return;
   }
-  if (context.board.money.returning || settled.length >= context.options.settlePageSize) {
+  if (context.board.money.returning) {
     return;
   }
   const amountMicros = drawMicros(context, page, share);
--- a/packages/core/src/money/routerRow.ts
+++ b/packages/core/src/money/routerRow.ts
@@ -25,6 +25,8 @@
 /** Writes the router row at start, and confirms the incarnation after each pause. */
 export function* routerRowController(context: CoreContext): Task<void> {
   const { money } = context.board;
+  // A router that peers cannot hear may be fenced while it runs; it must notice before its share is reclaimed.
+  const checkIntervalMs = context.options.fenceWaitMs / 2;
   for (;;) {
     const registered = money.registeredIncarnationId === context.board.incarnationId;
     if (!registered || context.board.confirmation === Confirmation.Unconfirmed) {
@@ -34,7 +36,8 @@
       }
       continue;
     }
-    yield* receive(money.confirmRequests, Infinity);
+    yield* receive(money.confirmRequests, context.clock.monotonicMs + checkIntervalMs);
+    yield* confirmOnce(context);
   }
 }
 
--- a/packages/core/src/money/syncOrganisation.ts
+++ b/packages/core/src/money/syncOrganisation.ts
@@ -75,7 +75,7 @@
     settleRecord(page, record, time);
   }
   if (ownsActiveRow(context, rows)) {
-    planShare(context, page, records);
+    planShare(context, page);
   }
   return yield* commitPage(context, page, incarnationId, records);
 }
