Tell unreachable routers from broken attempts and show what slow requests met

In a trial run the auditor counted 2 requests as lost whose last attempt was refused by the killed router's closed port, after earlier attempts had brought verdicts. A refused connection says nothing about the request, so the last verdict stays true; a request that only met refused connections, or that broke, still counts as lost. Callers now prefer addresses that have not failed. The report lists the attempts of refused and slow requests.

--- a/packages/demo/src/auditor/types.ts
+++ b/packages/demo/src/auditor/types.ts
@@ -29,7 +29,7 @@
   readonly startedAtMs: number;
   readonly endedAtMs: number;
   readonly outcome: CallOutcome;
-  /** Reason of the last refusal, or what broke the last attempt. */
+  /** What each attempt gave, in their order. */
   readonly detail: string;
   readonly attemptCount: number;
 }
--- a/packages/demo/src/callers/__tests__/callers.test.ts
+++ b/packages/demo/src/callers/__tests__/callers.test.ts
@@ -31,6 +31,10 @@
     assert.equal(outcomeOf([broken, notRun]), CallOutcome.RefusedMayHaveRun);
     assert.equal(outcomeOf([refused(Verdict.MayHaveRun), notRun]), CallOutcome.RefusedMayHaveRun);
     assert.equal(outcomeOf([notRun, broken]), CallOutcome.NoAnswer);
+    const unreachable: AttemptResult = { kind: 'unreachable', detail: 'refused' };
+    assert.equal(outcomeOf([notRun, unreachable]), CallOutcome.RefusedNotRun);
+    assert.equal(outcomeOf([broken, unreachable]), CallOutcome.NoAnswer);
+    assert.equal(outcomeOf([unreachable]), CallOutcome.NoAnswer);
   });
 
   it('finds the key of an identity again (otherwise every answer would look unbilled)', () => {
--- a/packages/demo/src/callers/attempt.ts
+++ b/packages/demo/src/callers/attempt.ts
@@ -14,7 +14,9 @@
   | { readonly kind: 'answered' }
   | { readonly kind: 'wrong'; readonly detail: string }
   | { readonly kind: 'refused'; readonly verdict: Verdict; readonly reason: string }
-  /** No answer and no verdict: the connection could not be made or broke. */
+  /** The connection was refused, so nothing was sent in this attempt. */
+  | { readonly kind: 'unreachable'; readonly detail: string }
+  /** No answer and no verdict: the request may have reached the router. */
   | { readonly kind: 'broken'; readonly detail: string };
 
 const ATTEMPT_TIMEOUT_MS = 5_000;
@@ -30,10 +32,15 @@
   try {
     return await follow(dispatcher, `http://${address}${work.path}`, organisation, work);
   } catch (error) {
-    return { kind: 'broken', detail: error instanceof Error ? error.message : String(error) };
+    const detail = error instanceof Error ? error.message : String(error);
+    return { kind: isConnectionRefused(error) ? 'unreachable' : 'broken', detail };
   }
 }
 
+function isConnectionRefused(error: unknown): boolean {
+  return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+}
+
 async function follow(
   dispatcher: Dispatcher,
   firstUrl: string,
--- a/packages/demo/src/callers/caller.ts
+++ b/packages/demo/src/callers/caller.ts
@@ -43,12 +43,13 @@
 async function complete(setup: CallerSetup, work: Work): Promise<CallRecord> {
   const startedAtMs = Date.now();
   const results: AttemptResult[] = [];
+  const failedAddresses: string[] = [];
   while (results.length < MAX_ATTEMPTS && !isFinal(results.at(-1))) {
     if (results.length > 0) {
       setup.entry.forget();
       await pause(FIRST_RETRY_WAIT_MS * 2 ** (results.length - 1));
     }
-    results.push(await attempt(setup, work, results.length));
+    results.push(await attempt(setup, work, failedAddresses));
   }
   return {
     organisationId: setup.organisation.organisationId,
@@ -58,19 +59,26 @@
     startedAtMs,
     endedAtMs: Date.now(),
     outcome: outcomeOf(results),
-    detail: detailOf(results.at(-1)),
+    detail: results.map(detailOf).join('; '),
     attemptCount: results.length,
   };
 }
 
-/** Each attempt goes to the next address of the entry answer. */
-async function attempt(setup: CallerSetup, work: Work, index: number): Promise<AttemptResult> {
+/** An attempt goes to the first address that has not failed yet, else to the one whose failure is oldest. */
+async function attempt(setup: CallerSetup, work: Work, failedAddresses: string[]): Promise<AttemptResult> {
   const addresses = await setup.entry.addresses(Date.now());
-  const address = addresses[index % Math.max(1, addresses.length)];
+  const byFailure = [...addresses].sort(
+    (a, b) => failedAddresses.lastIndexOf(a) - failedAddresses.lastIndexOf(b),
+  );
+  const address = byFailure[0];
   if (address === undefined) {
-    return { kind: 'refused', verdict: Verdict.DidNotRun, reason: 'no-entry-answer' };
+    return { kind: 'unreachable', detail: 'no router gives an entry answer' };
   }
-  return attemptWork(setup.dispatcher, address, setup.organisation, work);
+  const result = await attemptWork(setup.dispatcher, address, setup.organisation, work);
+  if (result.kind !== 'answered') {
+    failedAddresses.push(address);
+  }
+  return result;
 }
 
 function isFinal(result: AttemptResult | undefined): boolean {
@@ -80,40 +88,46 @@
       return true;
     case 'refused':
       return result.reason === BUDGET_REASON;
+    case 'unreachable':
     case 'broken':
     case undefined:
       return false;
   }
 }
 
-/** "Did not run" holds for the request only if it holds for every attempt: an earlier one may have run. */
+/**
+ * "Did not run" holds for the request only if it holds for every attempt: an earlier one may have run. Attempts
+ * that reached no router change nothing about the request, so the last verdict stays true.
+ */
 export function outcomeOf(results: readonly AttemptResult[]): CallOutcome {
-  const last = results.at(-1);
+  const informative = results.filter(({ kind }) => kind !== 'unreachable');
+  const last = informative.at(-1);
   switch (last?.kind) {
     case 'answered':
       return CallOutcome.Answered;
     case 'wrong':
       return CallOutcome.WrongAnswer;
     case 'refused':
-      return results.every((result) => result.kind === 'refused' && result.verdict === Verdict.DidNotRun)
+      return informative.every((result) => result.kind === 'refused' && result.verdict === Verdict.DidNotRun)
         ? CallOutcome.RefusedNotRun
         : CallOutcome.RefusedMayHaveRun;
+    case 'unreachable':
     case 'broken':
     case undefined:
       return CallOutcome.NoAnswer;
   }
 }
 
-function detailOf(result: AttemptResult | undefined): string {
-  switch (result?.kind) {
+function detailOf(result: AttemptResult): string {
+  switch (result.kind) {
     case 'refused':
-      return result.reason;
+      return `${result.verdict} ${result.reason}`;
     case 'wrong':
+    case 'unreachable':
     case 'broken':
       return result.detail;
     case 'answered':
-    case undefined:
-      return '';
+      return 'answered';
   }
 }
 
--- a/packages/demo/src/report/findingLines.ts
+++ b/packages/demo/src/report/findingLines.ts
@@ -1,5 +1,6 @@
 import type { AuditReport } from '../auditor/audit.ts';
-import type { Finding } from '../auditor/types.ts';
+import type { CallRecord, Finding } from '../auditor/types.ts';
+import { CallOutcome } from '../auditor/types.ts';
 
 const MAX_LINES_PER_KIND = 5;
 
@@ -17,3 +18,24 @@
   );
   return [...overspendLines, ...Object.entries(report).flatMap(([kind, found]) => linesOf(kind, found))];
 }
+
+const SLOWEST_COUNT = 3;
+
+/** The slowest answers with what their attempts gave, as an explanation of the high percentiles. */
+export function slowestLines(calls: readonly CallRecord[]): string[] {
+  const durationMs = (call: CallRecord) => call.endedAtMs - call.startedAtMs;
+  const answered = calls.filter(({ outcome }) => outcome === CallOutcome.Answered);
+  const slowest = answered.sort((a, b) => durationMs(b) - durationMs(a)).slice(0, SLOWEST_COUNT);
+  return slowest.map((call) => `slow: ${call.key} ${call.kind} ${durationMs(call)} ms (${call.detail})`);
+}
+
+/** How many requests ended in a refusal for each sequence of reasons. */
+export function refusalLines(calls: readonly CallRecord[]): string[] {
+  const counts = new Map<string, number>();
+  for (const { outcome, detail } of calls) {
+    if (outcome === CallOutcome.RefusedNotRun || outcome === CallOutcome.RefusedMayHaveRun) {
+      counts.set(detail, (counts.get(detail) ?? 0) + 1);
+    }
+  }
+  return [...counts].map(([detail, count]) => `refused: ${count} times (${detail})`);
+}
--- a/packages/demo/src/runDemo.ts
+++ b/packages/demo/src/runDemo.ts
@@ -5,7 +5,7 @@
 import { addSummaries, promisesHeld } from './auditor/audit.ts';
 import { ProcessGroup } from './fleet/processGroup.ts';
 import { PLACES } from './place/places.ts';
-import { findingLines } from './report/findingLines.ts';
+import { findingLines, refusalLines, slowestLines } from './report/findingLines.ts';
 import { organisationTable } from './report/organisationTable.ts';
 import type { PlaceResult } from './runPlace.ts';
 import { runPlace } from './runPlace.ts';
@@ -70,7 +70,8 @@
 function reportResults(results: readonly PlaceResult[]): number {
   for (const result of results) {
     print(`\n${result.place.name}\n${organisationTable(result)}`);
-    findingLines(result.report).forEach(print);
+    const { calls } = result.evidence;
+    [...findingLines(result.report), ...refusalLines(calls), ...slowestLines(calls)].forEach(print);
   }
   const held = results.every(({ summary }) => promisesHeld(summary));
   const total = results.map(({ summary }) => summary).reduce(addSummaries, EMPTY_SUMMARY);
