--- a/packages/core/src/createBlackboard.ts
+++ b/packages/core/src/createBlackboard.ts
@@ -1,5 +1,8 @@
 import type { Blackboard, RouterIdentity } from './blackboard.ts';
 import { Confirmation } from './blackboard.ts';
+import { createMoneyState } from './money/createMoneyState.ts';
+import { createRequestState } from './requests/createRequestState.ts';
+import { createRoutingState } from './routing/createRoutingState.ts';
 import { Channel } from './scheduler/channel.ts';
 import { RouterState } from './types/messages.ts';
 
@@ -11,11 +14,15 @@
     confirmation: Confirmation.Confirmed,
     routerState: RouterState.Starting,
     stopRequested: false,
+    stopSignal: new Channel(),
+    acceptsRequests: true,
     configuration: undefined,
+    rejectedRevision: 0,
+    operators: new Map(),
     membership: { peers: new Map(), vms: new Map(), listReadAtMs: undefined, absentSinceMs: new Map() },
-    money: { shares: new Map(), ownRecords: new Map(), copies: new Map(), drawRequests: new Channel() },
-    requests: { running: new Map() },
-    routing: { upstreams: new Map() },
+    money: createMoneyState(incarnationId),
+    requests: createRequestState(),
+    routing: createRoutingState(),
     replies: {
       tableCalls: new Map(),
       membershipCalls: new Map(),
--- a/packages/core/src/routing/probeController.ts
+++ b/packages/core/src/routing/probeController.ts
@@ -1,7 +1,73 @@
+import type { EventOf } from '../blackboard.ts';
 import type { CoreContext } from '../context.ts';
+import { withChannel } from '../context.ts';
+import { wakeQueue } from '../requests/classQueue.ts';
+import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
+import { receive, sleepUntil } from '../scheduler/task.ts';
+import { EffectKind } from '../types/effects.ts';
+import type { EventKind } from '../types/events.ts';
+import type { EngineLoad } from '../types/requests.ts';
+import {
+  forgetRemovedUpstreams,
+  isListedLeaving,
+  markLeaving,
+  markListedLeaving,
+  upstreamInfo,
+} from './upstreams.ts';
 
-/** Reads the load of every configured engine at an interval. */
-export function* probeController(_context: CoreContext): Task<void> {
-  // Added with the choice of engine.
+/**
+ * Probes for one interval. At two intervals a second and about 300 bytes for a probe this is 7 KB a second, within
+ * the 12 KB that a node may spend on control; a fleet of a dozen engines is read whole each time.
+ */
+const MAX_PROBES_PER_INTERVAL = 12;
+
+/** Reads the load of the configured engines at an interval, in turns if there are many. */
+export function* probeController(context: CoreContext): Task<void> {
+  for (let firstIndex = 0; ; firstIndex += MAX_PROBES_PER_INTERVAL) {
+    markListedLeaving(context);
+    forgetRemovedUpstreams(context);
+    const engines = context.board.configuration?.document.engines ?? [];
+    const probeCount = Math.min(engines.length, MAX_PROBES_PER_INTERVAL);
+    for (let offset = 0; offset < probeCount; offset += 1) {
+      const engine = engines[(firstIndex + offset) % engines.length];
+      if (engine !== undefined) {
+        context.spawn('probeEngine', probeEngine(context, engine.address));
+      }
+    }
+    yield* sleepUntil(context.clock.monotonicMs + context.options.probeIntervalMs);
+  }
+}
+
+function* probeEngine(context: CoreContext, address: string): Task<void> {
+  const callId = context.newId();
+  const channel = new Channel<EventOf<EventKind.UpstreamProbed>>();
+  context.emit({ kind: EffectKind.UpstreamProbe, callId, address });
+  const deadlineMs = context.clock.monotonicMs + context.options.probeIntervalMs;
+  const reply = yield* withChannel(
+    context.board.replies.probes,
+    callId,
+    channel,
+    receive(channel, deadlineMs),
+  );
+  if (reply?.load !== undefined) {
+    applyLoad(context, address, reply.load);
+  }
+}
+
+/**
+ * The newest sign decides: a report that is younger than the last sign of leaving takes the sign back, unless the
+ * membership list still says Leaving. Reports lag, so an older one proves nothing.
+ */
+function applyLoad(context: CoreContext, address: string, load: EngineLoad): void {
+  const info = upstreamInfo(context, address);
+  info.load = load;
+  info.loadReadAtMs = context.clock.monotonicMs;
+  if (load.leaving || isListedLeaving(context, address)) {
+    markLeaving(context, info);
+  } else if (context.clock.monotonicMs - load.ageMs > info.leavingSeenAtMs) {
+    info.leaving = false;
+  }
+  info.prefixes.remember(load.cachedPrefixHashes);
+  wakeQueue(context);
 }
