--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -55,6 +55,8 @@
   readonly membership: MembershipView;
   readonly money: MoneyState;
   readonly requests: RequestState;
+  /** Operators' requests that have no answer yet. */
+  readonly adminExchanges: Set<string>;
   readonly routing: RoutingState;
   readonly replies: ReplyChannels;
 }
--- a/packages/core/src/configuration/handleAdminRequest.ts
+++ b/packages/core/src/configuration/handleAdminRequest.ts
@@ -15,9 +15,17 @@
   exchangeId: string,
   request: AdminRequest,
 ): Task<void> {
-  const operator = yield* authenticateOperator(context, request);
-  const { status, body } = operator.isErr() ? operator.error : yield* route(context, operator.value, request);
-  context.emit({ kind: EffectKind.AdminReply, exchangeId, status, body: JSON.stringify(body) });
+  const { adminExchanges } = context.board;
+  adminExchanges.add(exchangeId);
+  try {
+    const operator = yield* authenticateOperator(context, request);
+    const { status, body } = operator.isErr()
+      ? operator.error
+      : yield* route(context, operator.value, request);
+    context.emit({ kind: EffectKind.AdminReply, exchangeId, status, body: JSON.stringify(body) });
+  } finally {
+    adminExchanges.delete(exchangeId);
+  }
 }
 
 const SECTION_PATH = /^\/v1\/config\/sections\/([^/]+)$/;
--- a/packages/core/src/createBlackboard.ts
+++ b/packages/core/src/createBlackboard.ts
@@ -22,6 +22,7 @@
     membership: { peers: new Map(), vms: new Map(), listReadAtMs: undefined, absentSinceMs: new Map() },
     money: createMoneyState(incarnationId),
     requests: createRequestState(),
+    adminExchanges: new Set(),
     routing: createRoutingState(),
     replies: {
       tableCalls: new Map(),
--- a/packages/core/src/drain/drainController.ts
+++ b/packages/core/src/drain/drainController.ts
@@ -9,8 +9,6 @@
 
 /** Running requests are looked at this often; they end by themselves and wake no channel of the drain. */
 const RUNNING_CHECK_INTERVAL_MS = 100;
-/** With the store down the exit must not wait for ever: the reclaim finds what is left. */
-const MAX_RETURN_TRIES = 10;
 const RETURN_RETRY_INTERVAL_MS = 1_000;
 
 /** Leads a stopping router through its drain to its exit. */
@@ -40,20 +38,24 @@
 }
 
 function* waitForRequests(context: CoreContext): Task<void> {
-  while (context.board.requests.running.size > 0) {
+  const { requests, adminExchanges } = context.board;
+  while (requests.running.size > 0 || adminExchanges.size > 0) {
     yield* sleepUntil(context.clock.monotonicMs + RUNNING_CHECK_INTERVAL_MS);
   }
 }
 
+/** With the store down the exit must not wait for ever: the reclaim finds what is left. */
 function* returnShares(context: CoreContext): Task<void> {
-  for (let tries = 1; tries <= MAX_RETURN_TRIES; tries += 1) {
+  const { drainLimitMs } = context.options;
+  const deadlineMs = context.clock.monotonicMs + drainLimitMs;
+  while (context.clock.monotonicMs < deadlineMs) {
     if (yield* returnAllShares(context)) {
       return;
     }
     yield* sleepUntil(context.clock.monotonicMs + RETURN_RETRY_INTERVAL_MS);
   }
-  logWarn(context, 'The drain ends with shares that could not be returned; a peer reclaims them.', {
-    tries: MAX_RETURN_TRIES,
+  logWarn(context, 'The drain ends with money that could not be returned; a peer reclaims it.', {
+    drainLimitMs,
     incarnationId: context.board.incarnationId,
   });
 }
--- a/packages/core/src/money/copies.ts
+++ b/packages/core/src/money/copies.ts
@@ -1,17 +1,23 @@
 import type { CoreContext } from '../context.ts';
 import { liveRegionPeers } from '../membership/livePeers.ts';
+import type { PeerInfo } from '../membership/types.ts';
 import { receive } from '../scheduler/task.ts';
 import type { Task } from '../scheduler/task.ts';
 import { EffectKind } from '../types/effects.ts';
 import type { UsageRecord } from '../types/messages.ts';
-import { PeerMessageKind } from '../types/messages.ts';
+import { PeerMessageKind, RouterState } from '../types/messages.ts';
 import { recordKey } from './keys.ts';
 import { addRecordWaiter, removeRecordWaiter } from './records.ts';
 
+/** Peers that will stay: a draining router takes the copies that it holds with it when it exits. */
+function stayingPeers(context: CoreContext): PeerInfo[] {
+  return liveRegionPeers(context).filter((peer) => peer.state !== RouterState.Draining);
+}
+
 /** Peers that hold copies: other availability zones first, because a zone fails as a whole. */
 export function copyPeerAddresses(context: CoreContext): string[] {
   const { identity } = context.board;
-  const peers = liveRegionPeers(context);
+  const peers = stayingPeers(context);
   const elsewhere = peers.filter((peer) => peer.sender.availabilityZone !== identity.availabilityZone);
   const here = peers.filter((peer) => peer.sender.availabilityZone === identity.availabilityZone);
   return [...elsewhere, ...here].slice(0, context.options.copyCount).map((peer) => peer.sender.peerAddress);
@@ -30,10 +36,20 @@
   return addresses.length > 0;
 }
 
-/** True once a peer holds the record's current state or the record needs no copy any more. */
-export function isSafe(context: CoreContext, key: string): boolean {
+/** Incarnations whose copies count: an acknowledgement of a process that has ended or drains protects nothing. */
+function holderIncarnations(context: CoreContext): ReadonlySet<string> {
+  return new Set(stayingPeers(context).map((peer) => peer.sender.incarnationId));
+}
+
+/** True while a peer holds the record's current state, or once the record needs no copy any more. */
+export function isSafe(
+  context: CoreContext,
+  key: string,
+  holders: ReadonlySet<string> = holderIncarnations(context),
+): boolean {
   const { money } = context.board;
-  return !money.ownRecords.has(key) || (money.acknowledgedBy.get(key)?.size ?? 0) > 0;
+  const acknowledged = [...(money.acknowledgedBy.get(key) ?? [])];
+  return !money.ownRecords.has(key) || acknowledged.some((incarnationId) => holders.has(incarnationId));
 }
 
 /** Waits until the record is safe or the deadline passes. */
@@ -49,10 +65,11 @@
   }
 }
 
-/** Sends the records again whose copies no peer has acknowledged. */
+/** Sends the records again of which no peer that stays holds a copy. */
 export function resendCopies(context: CoreContext): void {
+  const holders = holderIncarnations(context);
   for (const [key, record] of context.board.money.ownRecords) {
-    if (!isSafe(context, key)) {
+    if (!isSafe(context, key, holders)) {
       sendCopies(context, record);
     }
   }
--- a/packages/core/src/money/handleRecordMessages.ts
+++ b/packages/core/src/money/handleRecordMessages.ts
@@ -37,7 +37,7 @@
   const { ownRecords, acknowledgedBy, ownIncarnationIds } = context.board.money;
   const record = ownRecords.get(requestId);
   if (record?.state === state) {
-    acknowledgedBy.get(requestId)?.add(sender.peerAddress);
+    acknowledgedBy.get(requestId)?.add(sender.incarnationId);
     wakeRecordWaiters(context, requestId);
   }
   const [incarnationId] = requestId.split('/');
@@ -61,7 +61,7 @@
   requestId: string,
 ): void {
   const running = [...context.board.requests.running.values()].some(
-    (request) => request.requestId === requestId,
+    (request) => request.scopedId === requestId,
   );
   const records = knownRecords(context, requestId);
   reply(context, sender, { kind: PeerMessageKind.RecordQueryReply, queryId, records, running });
--- a/packages/core/src/money/reservations.ts
+++ b/packages/core/src/money/reservations.ts
@@ -9,7 +9,7 @@
 import type { UsageRecord } from '../types/messages.ts';
 import { PeerMessageKind, RecordState } from '../types/messages.ts';
 import { logWarn } from '../log.ts';
-import { sendCopies, waitUntilSafe } from './copies.ts';
+import { isSafe, sendCopies, waitUntilSafe } from './copies.ts';
 import { recordKey } from './keys.ts';
 import { changeCommitted, putOwnRecord, resolveRecords } from './records.ts';
 import { settleableRecords } from './settleableRecords.ts';
@@ -57,13 +57,36 @@
   }
   giveBackUnused(context, existing, existing.amountMicros - amountMicros);
   const record: UsageRecord = { ...existing, state: RecordState.Used, amountMicros };
+  yield* secureUsage(context, record);
+}
+
+/**
+ * Takes over the usage of a request that another router ran, for an answer that is repeated from its record. The
+ * bill bucket recognises the identity if its router has settled it already.
+ */
+export function* adoptUsage(context: CoreContext, record: UsageRecord): Task<void> {
+  const { ownRecords, ownIncarnationIds } = context.board.money;
+  // Own usage stays in memory until it is settled, so what is not there any more has been billed.
+  if (!ownRecords.has(recordKey(record)) && !ownIncarnationIds.has(record.incarnationId)) {
+    yield* secureUsage(context, record);
+  }
+}
+
+/** Waits, for a bounded time, until a peer holds the usage record or the table has settled it. */
+function* secureUsage(context: CoreContext, record: UsageRecord): Task<void> {
+  const { options, board } = context;
+  const startedAtMs = context.clock.monotonicMs;
   putOwnRecord(context, record);
-  const pageIsFull =
-    settleableRecords(context, record.organisationId).length >= context.options.settlePageSize;
-  if (!sendCopies(context, record) || pageIsFull) {
-    context.board.money.drawRequests.push(record.organisationId);
+  const pageIsFull = settleableRecords(context, record.organisationId).length >= options.settlePageSize;
+  const sent = sendCopies(context, record);
+  if (sent) {
+    yield* waitUntilSafe(context, record, startedAtMs + options.reservationCopyWaitMs);
+  }
+  if (pageIsFull || !isSafe(context, recordKey(record))) {
+    // The peers that look live may be gone, so the table is asked before the wait is over.
+    board.money.drawRequests.push(record.organisationId);
   }
-  yield* waitUntilSafe(context, record, context.clock.monotonicMs + context.options.usageCopyWaitMs);
+  yield* waitUntilSafe(context, record, startedAtMs + options.usageCopyWaitMs);
 }
 
 /** Usage above the reservation is not charged: the budget was only asked for the reserved amount. */
--- a/packages/core/src/money/types.ts
+++ b/packages/core/src/money/types.ts
@@ -82,7 +82,7 @@
   readonly waiters: Map<string, Set<ShareWaiter>>;
   /** Tasks that wait until a record is copied or settled, by record key. */
   readonly recordWaiters: Map<string, Set<Channel<undefined>>>;
-  /** Peers that acknowledged the current state of an own record, by record key. */
+  /** Incarnations of the peers that acknowledged the current state of an own record, by record key. */
   readonly acknowledgedBy: Map<string, Set<string>>;
   /** Answers of peers, by query identifier. */
   readonly queries: Map<string, Channel<RecordsAnswer>>;
--- a/packages/core/src/requests/__tests__/requestBench.ts
+++ b/packages/core/src/requests/__tests__/requestBench.ts
@@ -275,6 +275,9 @@
       *findRecords() {
         return findings();
       },
+      *adoptUsage(_context, { incarnationId, amountMicros }) {
+        ledger.push(`adopt ${amountMicros} of ${incarnationId}`);
+      },
     };
   }
 }
--- a/packages/core/src/requests/claim.ts
+++ b/packages/core/src/requests/claim.ts
@@ -1,5 +1,6 @@
 import type { CoreContext } from '../context.ts';
 import { logWarn } from '../log.ts';
+import type { Reservation } from '../money/types.ts';
 import type { Task } from '../scheduler/task.ts';
 import { sleepUntil } from '../scheduler/task.ts';
 import { commitTransaction, readRows } from '../table/callTable.ts';
@@ -20,6 +21,14 @@
   readonly contentType: string | null;
 }
 
+/** What the call costs and whose share pays, so that whoever repeats the answer can have it billed. */
+export interface ClaimCharge {
+  readonly incarnationId: string;
+  readonly amountMicros: number;
+  /** Wall-clock time of the outcome. */
+  readonly atMs: number;
+}
+
 /** Content of a claim row. */
 export interface ClaimRow {
   readonly claimantId: string;
@@ -27,6 +36,8 @@
   readonly bodyHash: string;
   /** null until the call is done, and for an answer that is too long to record. */
   readonly outcome: CallOutcome | null;
+  /** null until the call is done. */
+  readonly charge: ClaimCharge | null;
 }
 
 export interface Claim {
@@ -52,9 +63,15 @@
   return row === undefined ? undefined : (row.value as unknown as ClaimRow);
 }
 
-function claimValue(claim: Claim, state: ClaimState, outcome: CallOutcome | null): JsonValue {
+function claimValue(
+  claim: Claim,
+  state: ClaimState,
+  outcome: CallOutcome | null,
+  charge: ClaimCharge | null,
+): JsonValue {
   const { claimantId, bodyHash } = claim;
-  return { claimantId, bodyHash, state, outcome: outcome === null ? null : { ...outcome } };
+  const row: ClaimRow = { claimantId, bodyHash, state, outcome, charge };
+  return structuredClone(row) as unknown as JsonValue;
 }
 
 export type ClaimLookup =
@@ -92,7 +109,7 @@
   expectedVersion: number,
   deadlineMs: number,
 ): Task<ClaimResult> {
-  const value = claimValue(claim, ClaimState.Claimed, null);
+  const value = claimValue(claim, ClaimState.Claimed, null, null);
   const transaction = {
     checks: [{ key: claim.key, expectedVersion }],
     writes: [{ key: claim.key, value }],
@@ -114,15 +131,22 @@
 }
 
 /** Records the outcome, in the background until the table has it. */
-export function recordOutcome(context: CoreContext, claim: Claim, outcome: CallOutcome): void {
+export function recordOutcome(
+  context: CoreContext,
+  claim: Claim,
+  outcome: CallOutcome,
+  reservation: Pick<Reservation, 'incarnationId' | 'amountMicros'>,
+): void {
   const recorded = outcome.body.length <= MAX_RECORDED_CHARACTERS ? outcome : null;
-  const value = claimValue(claim, ClaimState.Done, recorded);
+  const { incarnationId, amountMicros } = reservation;
+  const charge = { incarnationId, amountMicros, atMs: context.clock.wallMs };
+  const value = claimValue(claim, ClaimState.Done, recorded, charge);
   context.spawn('recordOutcome', replaceClaim(context, claim, value));
 }
 
 /** Gives up the claim of a call that certainly did not run, so that a retry may run it. */
 export function releaseClaim(context: CoreContext, claim: Claim): void {
-  const value = claimValue(claim, ClaimState.Released, null);
+  const value = claimValue(claim, ClaimState.Released, null, null);
   context.spawn('releaseClaim', replaceClaim(context, claim, value));
 }
 
--- a/packages/core/src/requests/createRequestState.ts
+++ b/packages/core/src/requests/createRequestState.ts
@@ -1,4 +1,5 @@
 import {
+  adoptUsage,
   completeReservation,
   findRecords,
   protectReservation,
@@ -15,6 +16,6 @@
     answered: new Map(),
     queue: createQueueState(),
     retryBudget: createRetryBudget(),
-    money: { reserve, protectReservation, completeReservation, releaseReservation, findRecords },
+    money: { reserve, protectReservation, completeReservation, releaseReservation, findRecords, adoptUsage },
   };
 }
--- a/packages/core/src/requests/serviceCall.ts
+++ b/packages/core/src/requests/serviceCall.ts
@@ -5,13 +5,14 @@
 import type { Task } from '../scheduler/task.ts';
 import type { OperationRule, PlainServiceSection } from '../types/configuration.ts';
 import { EffectKind } from '../types/effects.ts';
+import { RecordState } from '../types/messages.ts';
 import type { ServiceCallRequest } from '../types/requests.ts';
 import { ABSENT_ROW_VERSION } from '../types/table.ts';
 import { RefusalReason, Verdict } from '../types/verdict.ts';
 import type { AdmittedRequest } from './admission.ts';
 import { classOf } from './admission.ts';
 import { attachCaller, dropDepartedCallers, startCaller } from './callers.ts';
-import type { CallOutcome, Claim, ClaimRow } from './claim.ts';
+import type { CallOutcome, Claim, ClaimCharge, ClaimRow } from './claim.ts';
 import { ClaimState, claimKey, lookUpClaim, recordOutcome, releaseClaim, takeClaim } from './claim.ts';
 import { identifyRequest, runningKey } from './identity.ts';
 import { refuseExchange, refuseRun } from './refusal.ts';
@@ -133,18 +134,19 @@
       refuseRun(context, run, RefusalReason.StoreUnavailable);
       return undefined;
     case 'found':
-      answerFromClaim(context, run, lookup.row);
+      yield* answerFromClaim(context, run, lookup.row);
       return undefined;
   }
 }
 
 /** A claim stands for an earlier dispatch: its outcome is repeated, and without one the call may have run. */
-function answerFromClaim(context: CoreContext, run: RunningRequest, row: ClaimRow): void {
+function* answerFromClaim(context: CoreContext, run: RunningRequest, row: ClaimRow): Task<void> {
   if (row.bodyHash !== run.bodyHash) {
     refuseRun(context, run, RefusalReason.IdentityInUse);
     return;
   }
   if (row.outcome !== null) {
+    yield* chargeFromClaim(context, run, row.charge);
     sendOutcome(context, run, row.outcome);
     return;
   }
@@ -154,6 +156,25 @@
   refuseRun(context, run, isDone ? RefusalReason.IdentityInUse : RefusalReason.UpstreamFailed);
 }
 
+/**
+ * The router that ran the call may have died between the outcome and the bill, so the repeated answer is billed
+ * too. Past half of the idempotency window the bill bucket may soon forget the identity and charge it twice.
+ */
+function* chargeFromClaim(context: CoreContext, run: RunningRequest, charge: ClaimCharge | null): Task<void> {
+  const { clock, options, board } = context;
+  if (charge === null || clock.wallMs - charge.atMs > options.idempotencyWindowMs / 2) {
+    return;
+  }
+  yield* board.requests.money.adoptUsage(context, {
+    requestId: run.scopedId,
+    organisationId: run.organisationId,
+    incarnationId: charge.incarnationId,
+    state: RecordState.Used,
+    amountMicros: charge.amountMicros,
+    upstreamAddress: undefined,
+  });
+}
+
 /** Runs a non-idempotent call under its claim; a claim without a dispatch is removed again. */
 function* runClaimed(
   context: CoreContext,
@@ -175,14 +196,14 @@
       return;
     case 'taken':
       money.releaseReservation(context, reservation);
-      answerFromClaim(context, run, result.row);
+      yield* answerFromClaim(context, run, result.row);
       return;
     case 'claimed':
       break;
   }
   const end = yield* attemptCall(context, job, reservation);
   if (end.kind === 'answered') {
-    recordOutcome(context, claim, end.outcome);
+    recordOutcome(context, claim, end.outcome, reservation);
   } else if (ownVerdict(run) === Verdict.DidNotRun) {
     releaseClaim(context, claim);
   }
--- a/packages/core/src/requests/types.ts
+++ b/packages/core/src/requests/types.ts
@@ -1,5 +1,6 @@
 import type { EventOf } from '../blackboard.ts';
 import type {
+  adoptUsage,
   completeReservation,
   findRecords,
   protectReservation,
@@ -62,6 +63,7 @@
   readonly completeReservation: typeof completeReservation;
   readonly releaseReservation: typeof releaseReservation;
   readonly findRecords: typeof findRecords;
+  readonly adoptUsage: typeof adoptUsage;
 }
 
 export interface RequestState {
--- a/packages/core/src/types/options.ts
+++ b/packages/core/src/types/options.ts
@@ -36,6 +36,8 @@
   readonly fenceWaitMs: number;
   /** Held money without evidence is released after this wall-clock time. */
   readonly heldLimitMs: number;
+  /** A stopping router exits after this time although money is left that only a reclaim can return. */
+  readonly drainLimitMs: number;
   readonly resumeWindowMs: number;
   readonly requestDeadlineMs: number;
   /** Retries allowed as a fraction of requests. */
@@ -72,6 +74,8 @@
   reclaimGraceMs: 30_000,
   fenceWaitMs: 10_000,
   heldLimitMs: 600_000,
+  // Outlasts a reclaim that needs the copies that this router holds.
+  drainLimitMs: 90_000,
   resumeWindowMs: 10_000,
   requestDeadlineMs: 60_000,
   retryBudgetFraction: 0.1,
--- a/packages/faults/src/options.ts
+++ b/packages/faults/src/options.ts
@@ -8,6 +8,7 @@
   reclaimGraceMs: 6_000,
   fenceWaitMs: 4_000,
   heldLimitMs: 20_000,
+  drainLimitMs: 40_000,
   settleIntervalMs: 500,
   idleReturnMs: 8_000,
   nearHorizonMs: 10_000,
