Let callers try again after a broken last attempt and print the result line last

The auditor's rule stays. A caller whose last attempt broke now tries up to 2 times more, as the attempt limit is the demo's own choice. The JSON line is printed after the processes ended.

--- a/packages/demo/src/callers/caller.ts
+++ b/packages/demo/src/callers/caller.ts
@@ -12,7 +12,10 @@
 import { nextWork } from './work.ts';
 
 const MAX_ATTEMPTS = 6;
+/** A caller whose last attempt broke knows nothing yet, so it tries this many times more. */
+const MAX_EXTRA_ATTEMPTS = 2;
 const FIRST_RETRY_WAIT_MS = 150;
+const MAX_RETRY_WAIT_MS = 2_400;
 const THINK_MS = 120;
 /** A refusal for money needs no quick retry: more attempts would only load the routers. */
 const BUDGET_REASON = 'budget-exhausted';
@@ -44,10 +47,10 @@
   const startedAtMs = Date.now();
   const results: AttemptResult[] = [];
   const failedAddresses: string[] = [];
-  while (results.length < MAX_ATTEMPTS && !isFinal(results.at(-1))) {
+  while (mayTryAgain(results)) {
     if (results.length > 0) {
       setup.entry.forget();
-      await pause(FIRST_RETRY_WAIT_MS * 2 ** (results.length - 1));
+      await pause(Math.min(MAX_RETRY_WAIT_MS, FIRST_RETRY_WAIT_MS * 2 ** (results.length - 1)));
     }
     results.push(await attempt(setup, work, failedAddresses));
   }
@@ -81,6 +84,12 @@
   return result;
 }
 
+function mayTryAgain(results: readonly AttemptResult[]): boolean {
+  const last = results.at(-1);
+  const limit = last?.kind === 'broken' ? MAX_ATTEMPTS + MAX_EXTRA_ATTEMPTS : MAX_ATTEMPTS;
+  return results.length < limit && !isFinal(last);
+}
+
 function isFinal(result: AttemptResult | undefined): boolean {
   switch (result?.kind) {
     case 'answered':
--- a/packages/demo/src/runDemo.ts
+++ b/packages/demo/src/runDemo.ts
@@ -27,6 +27,14 @@
   shareMismatches: 0,
 };
 
+interface DemoEnd {
+  readonly exitCode: number;
+  /** Printed last, after the processes have ended, so that scripts find it. */
+  readonly lastLine: string;
+}
+
+const FAILED_LINE = JSON.stringify({ ...EMPTY_SUMMARY, promisesHeld: false, completed: false });
+
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
 }
@@ -49,25 +57,25 @@
   });
   const ending = endSignal(RUN_LIMIT_MS);
   const runs = Promise.all(groups.map(({ place, processes }) => runPlace(place, processes, print)));
-  let exitCode = 1;
+  let ended: DemoEnd = { exitCode: 1, lastLine: FAILED_LINE };
   try {
     const results = await Promise.race([runs, ending.reached]);
-    exitCode = reportResults(results);
+    ended = reportResults(results);
   } catch (error) {
     print(`the demo failed: ${error instanceof Error ? error.message : String(error)}`);
-    print(JSON.stringify({ ...EMPTY_SUMMARY, promisesHeld: false, completed: false }));
   } finally {
     ending.cancel();
     // A run that was given up may still fail after its processes are stopped.
     runs.catch(() => undefined);
     await Promise.all(groups.map(({ processes }) => processes.stopAll()));
-    cleanUp(folder, exitCode);
+    cleanUp(folder, ended.exitCode);
   }
-  process.stderr.write(`the demo took ${Date.now() - startMs} ms\n`);
-  return exitCode;
+  print(`the demo took ${Date.now() - startMs} ms`);
+  print(ended.lastLine);
+  return ended.exitCode;
 }
 
-function reportResults(results: readonly PlaceResult[]): number {
+function reportResults(results: readonly PlaceResult[]): DemoEnd {
   for (const result of results) {
     print(`\n${result.place.name}\n${organisationTable(result)}`);
     const { calls } = result.evidence;
@@ -75,8 +83,8 @@
   }
   const held = results.every(({ summary }) => promisesHeld(summary));
   const total = results.map(({ summary }) => summary).reduce(addSummaries, EMPTY_SUMMARY);
-  print(JSON.stringify({ ...total, promisesHeld: held, completed: true }));
-  return held ? 0 : 1;
+  const lastLine = JSON.stringify({ ...total, promisesHeld: held, completed: true });
+  return { exitCode: held ? 0 : 1, lastLine };
 }
 
 /** Rejects at the time limit or at SIGINT or SIGTERM, so that the processes are always ended. */
@@ -103,6 +111,6 @@
   if (exitCode === 0) {
     rmSync(folder, { recursive: true });
   } else {
-    process.stderr.write(`settings and logs of the processes are in ${folder}\n`);
+    print(`settings and logs of the processes are in ${folder}`);
   }
 }
