--- a/packages/cli/src/exitCodes.ts
+++ b/packages/cli/src/exitCodes.ts
@@ -1,3 +1,4 @@
+/** Exit codes of the command line. */
 export enum ExitCode {
   Success = 0,
   Failure = 1,
