Start no process in a demo that is ending

A SIGINT during the start of the fleet could let the start go on after the list of running processes was taken, so that a new process was killed but not waited for. The group now refuses to start once it is being stopped.

--- a/packages/demo/src/fleet/processGroup.ts
+++ b/packages/demo/src/fleet/processGroup.ts
@@ -15,12 +15,17 @@
 export class ProcessGroup {
   readonly #folder: string;
   readonly #children = new Map<string, ChildProcess>();
+  #stopped = false;
 
   constructor(folder: string) {
     this.#folder = folder;
   }
 
+  /** A group that is being stopped starts nothing more, or the new process would not be waited for. */
   start(plan: ProcessPlan): void {
+    if (this.#stopped) {
+      throw new Error(`${plan.name} is not started: the demo is ending`);
+    }
     const settingsFile = path.join(this.#folder, `${plan.name}.yaml`);
     writeFileSync(settingsFile, stringify(plan.settings));
     const log = openSync(path.join(this.#folder, `${plan.name}.log`), 'a');
@@ -43,6 +48,7 @@
   }
 
   async stopAll(): Promise<void> {
+    this.#stopped = true;
     const running = [...this.#children.values()].filter(isRunning);
     const exits = running.map((child) => new Promise((resolve) => child.once('exit', resolve)));
     for (const child of running) {
