Order models from one lease holder for each service; start work only on engines that have reported

Change: packages/core/src/orders takes a lease row with a fencing number for each model service, reads the engines back and orders the state wanted within the weight store's rate; engines that ignore fencing numbers wait out a pause and the clock allowance after a change of holder; an order is not sent after a pause. A starting router refuses requests with did-not-run until the engines have reported or 2 s have passed, and an engine without a report is used only if no usable one has reported. The request tests start their router Live, as the requests under test need. No fault run judges the orders yet.

--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -1,6 +1,7 @@
 import type { ActiveConfiguration, Operator } from './configuration/types.ts';
 import type { MembershipView } from './membership/types.ts';
 import type { MoneyState } from './money/types.ts';
+import type { OrdersState } from './orders/types.ts';
 import type { RequestState } from './requests/types.ts';
 import type { RoutingState } from './routing/types.ts';
 import type { Channel } from './scheduler/channel.ts';
@@ -32,6 +33,8 @@
   readonly tableCalls: Map<string, Channel<EventOf<EventKind.TableReply>>>;
   readonly membershipCalls: Map<string, Channel<EventOf<EventKind.MembershipReply>>>;
   readonly probes: Map<string, Channel<EventOf<EventKind.UpstreamProbed>>>;
+  readonly engineOrders: Map<string, Channel<EventOf<EventKind.EngineOrdered>>>;
+  readonly engineModels: Map<string, Channel<EventOf<EventKind.EngineModels>>>;
   readonly attempts: Map<string, Channel<AttemptEvent>>;
   readonly exchanges: Map<string, Channel<EventOf<EventKind.CallerGone>>>;
 }
@@ -58,5 +61,6 @@
   /** Operators' requests that have no answer yet. */
   readonly adminExchanges: Set<string>;
   readonly routing: RoutingState;
+  readonly orders: OrdersState;
   readonly replies: ReplyChannels;
 }
--- a/packages/core/src/controllers.ts
+++ b/packages/core/src/controllers.ts
@@ -5,6 +5,7 @@
 import { heartbeatController } from './membership/heartbeatController.ts';
 import { membershipController } from './membership/membershipController.ts';
 import { startMoneyControllers } from './money/startMoneyControllers.ts';
+import { ordersController } from './orders/ordersController.ts';
 import { probeController } from './routing/probeController.ts';
 
 /** Starts the tasks that run for the whole life of the router. */
@@ -14,6 +15,7 @@
   context.spawn('membership', membershipController(context));
   context.spawn('heartbeat', heartbeatController(context));
   context.spawn('probe', probeController(context));
+  context.spawn('orders', ordersController(context));
   context.spawn('drain', drainController(context));
   startMoneyControllers(context);
 }
--- a/packages/core/src/createBlackboard.ts
+++ b/packages/core/src/createBlackboard.ts
@@ -24,10 +24,13 @@
     requests: createRequestState(),
     adminExchanges: new Set(),
     routing: createRoutingState(),
+    orders: { leases: new Map() },
     replies: {
       tableCalls: new Map(),
       membershipCalls: new Map(),
       probes: new Map(),
+      engineOrders: new Map(),
+      engineModels: new Map(),
       attempts: new Map(),
       exchanges: new Map(),
     },
--- a/packages/core/src/dispatchEvent.ts
+++ b/packages/core/src/dispatchEvent.ts
@@ -18,6 +18,12 @@
     case EventKind.UpstreamProbed:
       replies.probes.get(event.callId)?.push(event);
       return;
+    case EventKind.EngineOrdered:
+      replies.engineOrders.get(event.callId)?.push(event);
+      return;
+    case EventKind.EngineModels:
+      replies.engineModels.get(event.callId)?.push(event);
+      return;
     case EventKind.UpstreamStarted:
     case EventKind.UpstreamChunk:
     case EventKind.UpstreamEnded:
--- /dev/null
+++ b/packages/core/src/orders/__tests__/planOrders.test.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ModelState } from '../../types/orders.ts';
+import type { EngineView } from '../planOrders.ts';
+import { planOrders } from '../planOrders.ts';
+
+function view(engineId: string, wanted: string[], models: EngineView['models']): EngineView {
+  return {
+    engine: {
+      engineId,
+      address: engineId,
+      region: 'near',
+      availabilityZone: 'near-a',
+      models: wanted,
+      maxConcurrent: 1,
+      honoursFencing: true,
+    },
+    models,
+  };
+}
+
+const summary = (input: Parameters<typeof planOrders>[0]): string[] =>
+  planOrders(input).map(({ engine, model, state }) => `${engine.engineId} ${model} ${state}`);
+
+// Guards against loads beyond the weight store's rate, and against many copies of one model before the first of another.
+test('loads stay within the rate and go to the model with the fewest engines first', () => {
+  const views = [
+    view('e1', ['a', 'b'], { a: ModelState.Loaded }),
+    view('e2', ['a', 'b'], {}),
+    view('e3', ['a'], { a: ModelState.Loading }),
+  ];
+  const input = { views, serviceModels: ['a', 'b'], availableLoads: 2.9 };
+  assert.deepEqual(summary(input), ['e1 b loaded', 'e2 b loaded']);
+  assert.deepEqual(summary({ ...input, availableLoads: 0.5 }), []);
+});
+
+// Guards against orders to engines whose state is not known, and against touching models of another service.
+test('unwanted models are unloaded, unknown engines and other services are left alone', () => {
+  const views = [
+    view('e1', [], { a: ModelState.Loaded, other: ModelState.Loaded }),
+    view('e2', ['a'], undefined),
+    view('e3', ['a'], { a: ModelState.Unloaded }),
+  ];
+  const orders = summary({ views, serviceModels: ['a'], availableLoads: 5 });
+  assert.deepEqual(orders, ['e1 a unloaded', 'e3 a loaded']);
+});
--- a/packages/core/src/requests/__tests__/requestBench.ts
+++ b/packages/core/src/requests/__tests__/requestBench.ts
@@ -12,6 +12,7 @@
 import type { CoreEvent } from '../../types/events.ts';
 import { EventKind } from '../../types/events.ts';
 import { DEFAULT_CORE_OPTIONS } from '../../types/options.ts';
+import { RouterState } from '../../types/messages.ts';
 import type { CallerMetadata, CallerRequest, EngineFinish } from '../../types/requests.ts';
 import { CallerRequestKind } from '../../types/requests.ts';
 import type { TableOutcome } from '../../types/table.ts';
@@ -122,6 +123,7 @@
       options: { ...DEFAULT_CORE_OPTIONS, probeIntervalMs },
     });
     this.core.board.configuration = configured ? activeConfiguration() : undefined;
+    this.core.board.routerState = RouterState.Live;
     this.core.board.requests.money = this.fakeMoney();
   }
 
--- a/packages/core/src/requests/engineWork.ts
+++ b/packages/core/src/requests/engineWork.ts
@@ -91,8 +91,11 @@
   const engines = (board.configuration?.document.engines ?? []).filter(({ models }) =>
     models.includes(model),
   );
+  const all = engines.map((engine) => ({ engine, info: upstreamInfo(context, engine.address) }));
+  // An engine without a report may be leaving, so it is used only if there is none with a report.
+  const reported = all.filter(({ info }) => info.load !== undefined && !info.leaving);
   const choice = chooseEngine({
-    candidates: engines.map((engine) => ({ engine, info: upstreamInfo(context, engine.address) })),
+    candidates: reported.length > 0 ? reported : all,
     region: board.identity.region,
     availabilityZone: board.identity.availabilityZone,
     prefixHashes: state.prefixes,
--- a/packages/core/src/requests/handleCallerRequest.ts
+++ b/packages/core/src/requests/handleCallerRequest.ts
@@ -4,6 +4,7 @@
 import type { Task } from '../scheduler/task.ts';
 import { EffectKind } from '../types/effects.ts';
 import type { EventKind } from '../types/events.ts';
+import { RouterState } from '../types/messages.ts';
 import { CallerRequestKind } from '../types/requests.ts';
 import { RefusalReason } from '../types/verdict.ts';
 import { admitRequest } from './admission.ts';
@@ -35,6 +36,10 @@
     answerEntry(context, exchangeId, organisationId);
     return;
   }
+  if (context.board.routerState === RouterState.Starting) {
+    refuseExchange(context, { exchangeId, organisationId, reason: RefusalReason.NotReady, requestId });
+    return;
+  }
   if (!context.board.acceptsRequests) {
     refuseExchange(context, { exchangeId, organisationId, reason: RefusalReason.Draining, requestId });
     return;
@@ -62,7 +67,7 @@
 /** Ready means that requests would be accepted now, so that a checker takes a draining router out of use. */
 function answerHealth(context: CoreContext, exchangeId: string): void {
   const { configuration, acceptsRequests, routerState } = context.board;
-  const isReady = configuration !== undefined && acceptsRequests;
+  const isReady = configuration !== undefined && acceptsRequests && routerState !== RouterState.Starting;
   const body = { ready: isReady, state: routerState, configurationRevision: configuration?.revision ?? 0 };
   answerJson(context, exchangeId, isReady ? 200 : 503, body);
 }
--- a/packages/core/src/requests/refusal.ts
+++ b/packages/core/src/requests/refusal.ts
@@ -36,7 +36,7 @@
   [RefusalReason.NotReady]: {
     status: 503,
     title: 'Not ready',
-    detail: 'This router has no configuration yet. Try another address.',
+    detail: 'This router is starting. Try another address.',
     retryAfterSeconds: 1,
   },
   [RefusalReason.Draining]: {
--- a/packages/core/src/types/effects.ts
+++ b/packages/core/src/types/effects.ts
@@ -1,4 +1,5 @@
 import type { PeerMessage } from './messages.ts';
+import type { EngineOrder } from './orders.ts';
 import type { UpstreamRequest } from './requests.ts';
 import type { TableTransaction } from './table.ts';
 import type { Problem } from './verdict.ts';
@@ -12,6 +13,8 @@
   UpstreamOpen = 'upstreamOpen',
   UpstreamCancel = 'upstreamCancel',
   UpstreamProbe = 'upstreamProbe',
+  EngineOrder = 'engineOrder',
+  EngineModelsRead = 'engineModelsRead',
   CallerStart = 'callerStart',
   CallerChunk = 'callerChunk',
   CallerEnd = 'callerEnd',
@@ -63,6 +66,13 @@
       readonly stopWork: boolean;
     }
   | { readonly kind: EffectKind.UpstreamProbe; readonly callId: string; readonly address: string }
+  | {
+      readonly kind: EffectKind.EngineOrder;
+      readonly callId: string;
+      readonly address: string;
+      readonly order: EngineOrder;
+    }
+  | { readonly kind: EffectKind.EngineModelsRead; readonly callId: string; readonly address: string }
   | {
       readonly kind: EffectKind.CallerStart;
       readonly exchangeId: string;
--- a/packages/core/src/types/events.ts
+++ b/packages/core/src/types/events.ts
@@ -1,5 +1,6 @@
 import type { VmRow } from './membership.ts';
 import type { PeerMessage, PeerSender } from './messages.ts';
+import type { EngineModels, EngineOrderOutcome } from './orders.ts';
 import type { CallerMetadata, CallerRequest, EngineChunk, EngineLoad } from './requests.ts';
 import type { TableOutcome } from './table.ts';
 
@@ -20,6 +21,8 @@
   UpstreamEnded = 'upstreamEnded',
   UpstreamFailed = 'upstreamFailed',
   UpstreamProbed = 'upstreamProbed',
+  EngineOrdered = 'engineOrdered',
+  EngineModels = 'engineModels',
   AdminArrived = 'adminArrived',
   StopRequested = 'stopRequested',
   Tick = 'tick',
@@ -78,6 +81,13 @@
       readonly address: string;
       readonly load: EngineLoad | undefined;
     }
+  | { readonly kind: EventKind.EngineOrdered; readonly callId: string; readonly outcome: EngineOrderOutcome }
+  /** `models` is undefined if the engine could not be reached. */
+  | {
+      readonly kind: EventKind.EngineModels;
+      readonly callId: string;
+      readonly models: EngineModels | undefined;
+    }
   | { readonly kind: EventKind.AdminArrived; readonly exchangeId: string; readonly request: AdminRequest }
   | { readonly kind: EventKind.StopRequested }
   | { readonly kind: EventKind.Tick };
--- a/packages/core/src/types/index.ts
+++ b/packages/core/src/types/index.ts
@@ -4,6 +4,7 @@
 export * from './membership.ts';
 export * from './messages.ts';
 export * from './options.ts';
+export * from './orders.ts';
 export * from './requests.ts';
 export * from './table.ts';
 export * from './verdict.ts';
--- a/packages/core/src/types/options.ts
+++ b/packages/core/src/types/options.ts
@@ -40,6 +40,13 @@
   readonly drainLimitMs: number;
   readonly resumeWindowMs: number;
   readonly requestDeadlineMs: number;
+  readonly orderIntervalMs: number;
+  /** Time for which one router may give orders to the engines of a service. */
+  readonly orderLeaseMs: number;
+  /** Largest difference between the wall clocks of two routers. */
+  readonly clockAllowanceMs: number;
+  /** Model loads that the weight store serves in a minute, for the whole fleet. */
+  readonly weightLoadsPerMinute: number;
   /** Retries allowed as a fraction of requests. */
   readonly retryBudgetFraction: number;
   readonly ejectAfterFailures: number;
@@ -78,6 +85,10 @@
   drainLimitMs: 90_000,
   resumeWindowMs: 10_000,
   requestDeadlineMs: 60_000,
+  orderIntervalMs: 2_000,
+  orderLeaseMs: 15_000,
+  clockAllowanceMs: 1_000,
+  weightLoadsPerMinute: 6,
   retryBudgetFraction: 0.1,
   ejectAfterFailures: 3,
   ejectMs: 10_000,
--- a/packages/faults/src/executeEffect.ts
+++ b/packages/faults/src/executeEffect.ts
@@ -6,6 +6,7 @@
 import type { Host } from './host.ts';
 import { MATRIX_CORE_OPTIONS, REORDER_DELAY_MS, STORE_SLOW_DELAY_MS } from './options.ts';
 import { DEFAULT_CORE_OPTIONS } from '@pimentostall/core';
+import { orderEngine, readEngineModels } from './executeOrder.ts';
 import type { Fault } from './types.ts';
 import { FaultKind } from './types.ts';
 import type { World } from './world.ts';
@@ -62,6 +63,12 @@
     case EffectKind.UpstreamProbe:
       probe(world, host, effect);
       return;
+    case EffectKind.EngineOrder:
+      orderEngine(world, host, effect, fault, options.ignorePause);
+      return;
+    case EffectKind.EngineModelsRead:
+      readEngineModels(world, host, effect);
+      return;
     case EffectKind.CallerStart:
     case EffectKind.CallerChunk:
       world.listeners.get(effect.exchangeId)?.onEffect(effect);
--- a/packages/faults/src/fakes/fakeEngine.ts
+++ b/packages/faults/src/fakes/fakeEngine.ts
@@ -1,3 +1,4 @@
+import type { EngineModels, EngineOrder } from '@pimentostall/core';
 import { hash32 } from '@pimentostall/core';
 
 const PREFILL_MS = 40;
@@ -32,7 +33,27 @@
   readonly startTimesMs: number[] = [];
   leavingSinceMs: number | undefined;
 
-  constructor(readonly address: string) {}
+  /** Orders that the engine took, in the order of their arrival. */
+  readonly orders: (EngineOrder & { readonly atMs: number })[] = [];
+
+  constructor(
+    readonly address: string,
+    private readonly honoursFencing: boolean,
+  ) {}
+
+  /** False for an order with an old fencing number, if the engine honours the numbers. */
+  takeOrder(order: EngineOrder, nowMs: number): boolean {
+    const highest = Math.max(0, ...this.orders.map(({ fencingNumber }) => fencingNumber));
+    if (this.honoursFencing && order.fencingNumber < highest) {
+      return false;
+    }
+    this.orders.push({ ...order, atMs: nowMs });
+    return true;
+  }
+
+  models(): EngineModels {
+    return Object.fromEntries(this.orders.map(({ model, state }) => [model, state]));
+  }
 
   /** Starts a stream; undefined means that the identity is known already. */
   start(
--- a/packages/faults/src/faultPlan.ts
+++ b/packages/faults/src/faultPlan.ts
@@ -35,6 +35,7 @@
     case EffectKind.TableCommit:
     case EffectKind.UpstreamOpen:
     case EffectKind.UpstreamCancel:
+    case EffectKind.EngineOrder:
     case EffectKind.CallerStart:
     case EffectKind.CallerEnd:
     case EffectKind.CallerProblem:
@@ -46,6 +47,7 @@
     case EffectKind.TableScan:
     case EffectKind.MembershipRead:
     case EffectKind.UpstreamProbe:
+    case EffectKind.EngineModelsRead:
     case EffectKind.CallerChunk:
     case EffectKind.Log:
     case EffectKind.Metric:
--- a/packages/faults/src/fleet.ts
+++ b/packages/faults/src/fleet.ts
@@ -6,6 +6,11 @@
 
 export const ENGINE_ADDRESSES = ['127.1.0.31:8400', '127.1.0.32:8400', '127.2.0.31:8400'] as const;
 export const LEAVING_ENGINE_ADDRESS = ENGINE_ADDRESSES[1];
+/** One engine ignores fencing numbers, as some do. */
+export function honoursFencing(address: string): boolean {
+  return address !== ENGINE_ADDRESSES[0];
+}
+
 export const SERVICE_ADDRESS = '127.1.0.50:8500';
 export const MODEL = 'assistant-small';
 export const PROMPT_MICROS_PER_TOKEN = 2;
@@ -110,7 +115,7 @@
       availabilityZone: ['near-a', 'near-b', 'far-a'][index],
       models: [MODEL],
       maxConcurrent: 16,
-      honoursFencing: true,
+      honoursFencing: honoursFencing(address),
     })),
   ),
 };
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -13,6 +13,7 @@
   NEAR_REGION,
   OPERATOR_KEY_SHA256,
   SERVICE_ADDRESS,
+  honoursFencing,
   routerIdentities,
   storedSections,
 } from './fleet.ts';
@@ -58,7 +59,9 @@
 export class World {
   readonly queue = new EventQueue();
   readonly table = new TableStore();
-  readonly engines = new Map(ENGINE_ADDRESSES.map((address) => [address as string, new FakeEngine(address)]));
+  readonly engines = new Map(
+    ENGINE_ADDRESSES.map((address) => [address as string, new FakeEngine(address, honoursFencing(address))]),
+  );
   readonly service = new FakeService(SERVICE_ADDRESS);
   readonly hosts: Host[];
   readonly random: () => number;
--- a/packages/shell/src/executeEffect.ts
+++ b/packages/shell/src/executeEffect.ts
@@ -61,6 +61,12 @@
     case EffectKind.UpstreamProbe:
       adapters.upstreams.probe(effect);
       return;
+    case EffectKind.EngineOrder:
+      adapters.upstreams.order(effect, steppedAt);
+      return;
+    case EffectKind.EngineModelsRead:
+      adapters.upstreams.readModels(effect);
+      return;
     case EffectKind.CallerStart:
       answer(adapters, effect.exchangeId, (exchange) => {
         exchange.start(effect.status, effect.headers);
--- a/packages/shell/src/upstreams/parseEngine.ts
+++ b/packages/shell/src/upstreams/parseEngine.ts
@@ -1,4 +1,5 @@
-import type { EngineChunk, EngineFinish, EngineLoad } from '@pimentostall/core';
+import type { EngineChunk, EngineFinish, EngineLoad, EngineModels } from '@pimentostall/core';
+import { ModelState } from '@pimentostall/core';
 
 type Fields = Readonly<Record<string, unknown>>;
 
@@ -67,3 +68,17 @@
     cachedPrefixHashes: hashes.filter((hash) => typeof hash === 'string'),
   };
 }
+
+/** Reads the models of an engine; entries with an unknown state are left out, and so count as unloaded. */
+export function parseEngineModels(text: string): EngineModels | undefined {
+  const models = parseObject(text)?.models;
+  if (typeof models !== 'object' || models === null) {
+    return undefined;
+  }
+  const known = new Map<unknown, ModelState>(Object.values(ModelState).map((state) => [state, state]));
+  const entries = Object.entries(models).flatMap(([model, value]) => {
+    const state = known.get(value);
+    return state === undefined ? [] : [[model, state] as const];
+  });
+  return Object.fromEntries(entries);
+}
--- a/packages/shell/src/upstreams/upstreamAdapter.ts
+++ b/packages/shell/src/upstreams/upstreamAdapter.ts
@@ -1,12 +1,12 @@
 import type { Effect, EffectKind, StepClock } from '@pimentostall/core';
-import { EventKind } from '@pimentostall/core';
+import { EngineOrderOutcome, EventKind } from '@pimentostall/core';
 import { Agent } from 'undici';
 import type { AddressResolver } from '../addresses.ts';
 import { wasPaused } from '../clock.ts';
 import { readAnswer } from '../http/readAnswer.ts';
 import type { ShellOptions } from '../options.ts';
 import type { EventSink } from '../routerLoop.ts';
-import { parseCancelled, parseEngineLoad } from './parseEngine.ts';
+import { parseCancelled, parseEngineLoad, parseEngineModels } from './parseEngine.ts';
 import { UpstreamAttempt } from './upstreamAttempt.ts';
 import { streamPath } from './upstreamCall.ts';
 
@@ -21,6 +21,20 @@
   readonly callerWritable: (exchangeId: string) => Promise<void>;
 }
 
+const STATUS_OK = 200;
+const STATUS_CONFLICT = 409;
+
+function orderOutcome(status: number | undefined): EngineOrderOutcome {
+  switch (status) {
+    case STATUS_OK:
+      return EngineOrderOutcome.Accepted;
+    case STATUS_CONFLICT:
+      return EngineOrderOutcome.Fenced;
+    default:
+      return EngineOrderOutcome.Unknown;
+  }
+}
+
 /** Requests to engines and plain services. */
 export class UpstreamAdapter {
   private readonly attempts = new Map<string, UpstreamAttempt>();
@@ -70,6 +84,27 @@
     });
   }
 
+  /** An order that waited through a pause is not sent: another router may hold the lease by now. */
+  order(effect: EffectOf<EffectKind.EngineOrder>, steppedAt: StepClock): void {
+    const { callId, address, order } = effect;
+    const { sink, readClock, pauseLimitMs } = this.setup;
+    if (wasPaused(steppedAt, readClock(), pauseLimitMs)) {
+      sink.submit({ kind: EventKind.EngineOrdered, callId, outcome: EngineOrderOutcome.Unknown });
+      return;
+    }
+    void this.request(address, 'POST', '/orders', JSON.stringify(order)).then((answer) => {
+      sink.submit({ kind: EventKind.EngineOrdered, callId, outcome: orderOutcome(answer?.status) });
+    });
+  }
+
+  readModels(effect: EffectOf<EffectKind.EngineModelsRead>): void {
+    const { callId, address } = effect;
+    void this.call(address, 'GET', '/orders').then((answer) => {
+      const models = answer === undefined ? undefined : parseEngineModels(answer);
+      this.setup.sink.submit({ kind: EventKind.EngineModels, callId, models });
+    });
+  }
+
   async close(): Promise<void> {
     await this.agent.destroy();
   }
@@ -92,12 +127,24 @@
 
   /** Body of a 200 answer within the probe's time; undefined otherwise. */
   private async call(address: string, method: 'GET' | 'DELETE', path: string): Promise<string | undefined> {
+    const answer = await this.request(address, method, path);
+    return answer?.status === STATUS_OK ? answer.body : undefined;
+  }
+
+  /** Any answer within the probe's time; undefined if there was none. */
+  private async request(
+    address: string,
+    method: 'GET' | 'DELETE' | 'POST',
+    path: string,
+    body?: string,
+  ): Promise<{ readonly status: number; readonly body: string | undefined } | undefined> {
     const { probeTimeoutMs, maxAnswerBytes } = this.setup.options;
+    const headers = body === undefined ? {} : { 'content-type': 'application/json' };
+    const origin = this.origin(address);
     try {
       const signal = AbortSignal.timeout(probeTimeoutMs);
-      const response = await this.agent.request({ origin: this.origin(address), method, path, signal });
-      const body = await readAnswer(response.body, maxAnswerBytes);
-      return response.statusCode === 200 ? body : undefined;
+      const response = await this.agent.request({ origin, method, path, signal, headers, body });
+      return { status: response.statusCode, body: await readAnswer(response.body, maxAnswerBytes) };
     } catch {
       return undefined;
     }
--- a/packages/standins/src/engine/engineServer.ts
+++ b/packages/standins/src/engine/engineServer.ts
@@ -47,6 +47,8 @@
     } else if (call === 'GET /load') {
       const report = this.#load.report(this.#model.cacheEvents, this.#leaving, Date.now());
       sendJson(response, 200, report);
+    } else if (call === 'GET /orders') {
+      sendJson(response, 200, { models: this.#orders.models });
     } else if (call === 'POST /orders') {
       const accepted = this.#orders.accept(await readJson(request, engineOrderSchema));
       sendJson(response, accepted ? 200 : 409, accepted ? {} : { error: 'the fencing number is old' });
--- a/packages/standins/src/engine/fencing.ts
+++ b/packages/standins/src/engine/fencing.ts
@@ -15,6 +15,14 @@
     this.#honoursFencing = honoursFencing;
   }
 
+  /** The models that orders have loaded or unloaded. Loading takes no time here. */
+  get models(): Readonly<Record<string, string>> {
+    const ordered = this.accepted.flatMap(({ model, state }) =>
+      model === undefined || state === undefined ? [] : [[model, state] as const],
+    );
+    return Object.fromEntries(ordered);
+  }
+
   accept(order: EngineOrder): boolean {
     if (this.#honoursFencing && order.fencingNumber < this.#highestNumber) {
       return false;
