Add a benchmark of the money policy with three baselines

The share policy had no figures: nothing showed how often a router refuses a request that the budget covers, or how many store writes a request costs.

npm run bench:budget runs real cores in the World of packages/faults on a virtual clock, and three models without cores on the same request stream. World takes its fleet, timing and engine speed from a Place; the matrix keeps its own.

--- /dev/null
+++ b/packages/bench/src/budget/benchCaller.ts
@@ -0,0 +1,125 @@
+import type { CallerRequest, Effect, Problem } from '@pimentostall/core';
+import { CallerRequestKind, EffectKind, EventKind, Verdict } from '@pimentostall/core';
+import type { World } from '@pimentostall/faults';
+import { LOST_RETRY_MS, MAX_TRIES } from './callerPolicy.ts';
+import type { EntryCache } from './entryCache.ts';
+import { MAX_OUTPUT_TOKENS, MODEL } from './place.ts';
+import type { PlannedRequest } from './types.ts';
+
+const CALLER_LATENCY_MS = 1;
+const REDIRECT_STATUS = 307;
+const TARGET = '/v1/chat/completions';
+const MILLISECONDS_PER_SECOND = 1_000;
+
+export enum CallEnd {
+  Answered = 'answered',
+  Refused = 'refused',
+  /** The caller does not know whether the request ran. */
+  Unknown = 'unknown',
+}
+
+export interface BenchCallerSetup {
+  readonly world: World;
+  readonly request: PlannedRequest;
+  readonly keySha256: string;
+  readonly entry: EntryCache;
+  readonly onEnd: (end: CallEnd) => void;
+}
+
+/** Sends one request to its entry addresses, follows one redirect and retries a bounded number of times. */
+export class BenchCaller {
+  private tryCount = 0;
+  private ranPossibly = false;
+  private readonly failedAddresses: string[] = [];
+
+  constructor(private readonly setup: BenchCallerSetup) {}
+
+  start(): void {
+    this.tryCount += 1;
+    this.setup.entry.ask((addresses) => {
+      const byFailure = [...addresses].sort(
+        (a, b) => this.failedAddresses.lastIndexOf(a) - this.failedAddresses.lastIndexOf(b),
+      );
+      this.send(byFailure[0], false);
+    });
+  }
+
+  private send(address: string | undefined, redirected: boolean): void {
+    const { world, request, keySha256 } = this.setup;
+    const host = world.hosts.find(({ identity }) => identity.callerAddress === address);
+    let status = 0;
+    let location: string | undefined;
+    const onEffect = (effect: Effect): void => {
+      if (effect.kind === EffectKind.CallerStart) {
+        status = effect.status;
+        location = effect.headers.Location;
+      } else if (effect.kind === EffectKind.CallerProblem) {
+        this.onProblem(address, effect.problem);
+      } else if (effect.kind === EffectKind.CallerEnd) {
+        this.onAnswer(status, location);
+      }
+    };
+    const onBroken = (): void => {
+      this.ranPossibly = true;
+      this.retry(address, LOST_RETRY_MS);
+    };
+    const exchangeId = host === undefined ? undefined : world.openExchange(host, { onEffect, onBroken });
+    if (host === undefined || exchangeId === undefined) {
+      this.retry(address, LOST_RETRY_MS);
+      return;
+    }
+    const metadata = { keySha256, idempotencyKey: request.key, redirected, target: TARGET };
+    const event = {
+      kind: EventKind.CallerArrived,
+      exchangeId,
+      request: chatOf(request),
+      metadata,
+    } as const;
+    world.deliver(host, event, CALLER_LATENCY_MS);
+  }
+
+  private onAnswer(status: number, location: string | undefined): void {
+    if (status !== REDIRECT_STATUS) {
+      this.setup.onEnd(CallEnd.Answered);
+      return;
+    }
+    this.send(location === undefined ? undefined : new URL(location).host, true);
+  }
+
+  private onProblem(address: string | undefined, problem: Problem): void {
+    this.ranPossibly = this.ranPossibly || problem.verdict !== Verdict.DidNotRun;
+    if (problem.verdict === Verdict.DidNotRun && problem.retryAfterSeconds !== undefined) {
+      this.retry(address, problem.retryAfterSeconds * MILLISECONDS_PER_SECOND);
+    } else {
+      this.finish();
+    }
+  }
+
+  private retry(address: string | undefined, delayMs: number): void {
+    if (this.tryCount >= MAX_TRIES) {
+      this.finish();
+      return;
+    }
+    if (address !== undefined) {
+      this.failedAddresses.push(address);
+    }
+    this.setup.entry.forget();
+    this.setup.world.after(delayMs, () => {
+      this.start();
+    });
+  }
+
+  private finish(): void {
+    this.setup.onEnd(this.ranPossibly ? CallEnd.Unknown : CallEnd.Refused);
+  }
+}
+
+function chatOf({ prompt }: PlannedRequest): CallerRequest {
+  return {
+    kind: CallerRequestKind.ChatCompletion,
+    model: MODEL,
+    messages: [{ role: 'user', content: prompt }],
+    maxOutputTokens: MAX_OUTPUT_TOKENS,
+    stream: true,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/budget/tally.ts
@@ -0,0 +1,43 @@
+import type { Figures } from './types.ts';
+
+/** Money is sampled at this interval. */
+export const SAMPLE_INTERVAL_MS = 5_000;
+
+/** Counts the ends of requests and keeps the largest sampled amounts of one run. */
+export class Tally {
+  answeredCount = 0;
+  refusedCount = 0;
+  falselyRefusedCount = 0;
+  storeWrites = 0;
+  storeReads = 0;
+  linkBytes = 0;
+  private overspendMicros = 0;
+  private strandedMicros = 0;
+  private strandedAtEndMicros = 0;
+
+  /** `isFalse`: the all-knowing ledger would have admitted the request now. */
+  refuse(isFalse: boolean): void {
+    this.refusedCount += 1;
+    this.falselyRefusedCount += isFalse ? 1 : 0;
+  }
+
+  sample(overspendMicros: number, strandedMicros: number): void {
+    this.overspendMicros = Math.max(this.overspendMicros, overspendMicros);
+    this.strandedMicros = Math.max(this.strandedMicros, strandedMicros);
+    this.strandedAtEndMicros = strandedMicros;
+  }
+
+  figures(requestCount: number): Figures {
+    return {
+      overspendMicros: this.overspendMicros,
+      falseRefusalRate: this.falselyRefusedCount / requestCount,
+      refusalRate: this.refusedCount / requestCount,
+      failureRate: (requestCount - this.answeredCount - this.refusedCount) / requestCount,
+      storeWritesPerRequest: this.storeWrites / requestCount,
+      storeReadsPerRequest: this.storeReads / requestCount,
+      strandedMicros: this.strandedMicros,
+      strandedAtEndMicros: this.strandedAtEndMicros,
+      linkBytesPerRequest: this.linkBytes / requestCount,
+    };
+  }
+}
--- a/packages/faults/src/executeEffect.ts
+++ b/packages/faults/src/executeEffect.ts
@@ -4,7 +4,7 @@
 import { tokenText } from './fakes/fakeEngine.ts';
 import { FAR_REGION, NEAR_REGION } from './fleet.ts';
 import type { Host } from './host.ts';
-import { MATRIX_CORE_OPTIONS, REORDER_DELAY_MS, STORE_SLOW_DELAY_MS } from './options.ts';
+import { REORDER_DELAY_MS, STORE_SLOW_DELAY_MS } from './options.ts';
 import { DEFAULT_CORE_OPTIONS } from '@pimentostall/core';
 import type { Fault } from './types.ts';
 import { FaultKind } from './types.ts';
@@ -12,7 +12,6 @@
 
 const SERVICE_TIME_MS = 30;
 const PROBE_LAG_MS = 300;
-const pauseLimitMs = MATRIX_CORE_OPTIONS.pauseLimitMs ?? DEFAULT_CORE_OPTIONS.pauseLimitMs;
 
 type EffectOf<K extends EffectKind> = Extract<Effect, { readonly kind: K }>;
 
@@ -33,19 +32,19 @@
 ): void {
   switch (effect.kind) {
     case EffectKind.TableRead:
-      callTable(world, host, effect.callId, undefined, () => ({
+      callTable(world, host, effect, undefined, () => ({
         kind: TableOutcomeKind.Rows,
         rows: world.table.read(effect.keys),
       }));
       return;
     case EffectKind.TableScan:
-      callTable(world, host, effect.callId, undefined, () => ({
+      callTable(world, host, effect, undefined, () => ({
         kind: TableOutcomeKind.Rows,
         rows: world.table.scan(effect.keyPrefix),
       }));
       return;
     case EffectKind.TableCommit:
-      callTable(world, host, effect.callId, fault, () => commit(world, effect));
+      callTable(world, host, effect, fault, () => commit(world, effect));
       return;
     case EffectKind.MembershipRead:
       readMembership(world, host, effect.callId);
@@ -93,10 +92,11 @@
 function callTable(
   world: World,
   host: Host,
-  callId: string,
+  call: EffectOf<EffectKind.TableRead | EffectKind.TableScan | EffectKind.TableCommit>,
   fault: Fault | undefined,
   apply: () => TableOutcome,
 ): void {
+  const { callId } = call;
   const { region } = host.identity;
   const latencyMs = world.latencyMs(region, NEAR_REGION);
   const slowMs = world.nowMs < world.storeSlowUntilMs ? STORE_SLOW_DELAY_MS : 0;
@@ -106,7 +106,9 @@
     if (world.nowMs < world.storeDownUntilMs || world.isCut(region, NEAR_REGION)) {
       return;
     }
+    world.meterLink(region, NEAR_REGION, call);
     const outcome = apply();
+    world.meterLink(region, NEAR_REGION, outcome);
     if (fault?.kind === FaultKind.ReplyLost || host.generation !== generation) {
       return;
     }
@@ -122,6 +124,7 @@
   const cut = world.isCut(host.identity.region, NEAR_REGION);
   const rows = cut ? undefined : world.memberRows;
   const delayMs = 2 * world.latencyMs(host.identity.region, NEAR_REGION);
+  world.meterLink(host.identity.region, NEAR_REGION, rows);
   world.deliver(host, { kind: EventKind.MembershipReply, callId, rows }, delayMs);
 }
 
@@ -150,6 +153,7 @@
   };
   const event: CoreEvent = { kind: EventKind.PeerReceived, sender, message: effect.message };
   const latencyMs = world.latencyMs(region, target.identity.region);
+  world.meterLink(region, target.identity.region, event);
   world.deliver(target, event, latencyMs + (fault?.kind === FaultKind.Reorder ? REORDER_DELAY_MS : 0));
   if (fault?.kind === FaultKind.Duplicate) {
     world.deliver(target, event, latencyMs + REORDER_DELAY_MS);
@@ -164,6 +168,7 @@
   options: ExecuteOptions,
 ): void {
   const { attemptId, address, request } = effect;
+  const pauseLimitMs = world.place.coreOptions.pauseLimitMs ?? DEFAULT_CORE_OPTIONS.pauseLimitMs;
   const paused = world.nowMs - host.steppedAtMs > pauseLimitMs;
   const upstreamRegion = address.startsWith('127.2.') ? FAR_REGION : NEAR_REGION;
   const cut = world.isCut(host.identity.region, upstreamRegion);
@@ -174,6 +179,7 @@
   }
   const latencyMs = world.latencyMs(host.identity.region, upstreamRegion);
   const { generation } = host;
+  world.meterLink(host.identity.region, upstreamRegion, request);
   world.openAttempts.add(attemptId);
   world.after(latencyMs, () => {
     serve(world, host, { attemptId, address, request, generation, latencyMs, fault });
@@ -318,8 +324,10 @@
   const lateMs = fault?.kind === FaultKind.Reorder && index % 3 === 1 ? REORDER_DELAY_MS : 0;
   const cancelled = (): boolean =>
     stream.cancelledAtMs !== undefined && stream.cancelledAtMs < world.nowMs - exchange.latencyMs;
+  const upstreamRegion = exchange.address.startsWith('127.2.') ? FAR_REGION : NEAR_REGION;
   world.after(delayMs + lateMs, () => {
     if (!cancelled()) {
+      world.meterLink(host.identity.region, upstreamRegion, event);
       send(world, host, exchange, event, 0);
     }
   });
@@ -361,6 +369,7 @@
       }
     : undefined;
   const latencyMs = 2 * world.latencyMs(host.identity.region, upstreamRegion);
+  world.meterLink(host.identity.region, upstreamRegion, load);
   world.deliver(host, { kind: EventKind.UpstreamProbed, callId, address, load }, latencyMs);
 }
 
--- a/packages/faults/src/fakes/fakeEngine.ts
+++ b/packages/faults/src/fakes/fakeEngine.ts
@@ -1,9 +1,21 @@
 import { hash32 } from '@pimentostall/core';
 
-const PREFILL_MS = 40;
-const TOKEN_INTERVAL_MS = 25;
-const MIN_OUTPUT_TOKENS = 4;
-const OUTPUT_TOKEN_SPREAD = 12;
+/** Speed of an engine and the length of its answers, which the request identity decides. */
+export interface EngineOptions {
+  readonly prefillMs: number;
+  readonly tokenIntervalMs: number;
+  readonly minOutputTokens: number;
+  readonly outputTokenSpread: number;
+  /** Called when a stream starts. */
+  readonly onStart?: (stream: FakeStream) => void;
+}
+
+export const DEFAULT_ENGINE_OPTIONS: EngineOptions = {
+  prefillMs: 40,
+  tokenIntervalMs: 25,
+  minOutputTokens: 4,
+  outputTokenSpread: 12,
+};
 
 export interface FakeStream {
   readonly requestId: string;
@@ -18,8 +30,13 @@
   return `${hash32(requestId).toString(36)}.${index} `;
 }
 
-export function outputTokensOf(requestId: string, maxOutputTokens: number): number {
-  return Math.min(maxOutputTokens, MIN_OUTPUT_TOKENS + (hash32(requestId) % OUTPUT_TOKEN_SPREAD));
+export function outputTokensOf(
+  requestId: string,
+  maxOutputTokens: number,
+  options: EngineOptions = DEFAULT_ENGINE_OPTIONS,
+): number {
+  const { minOutputTokens, outputTokenSpread } = options;
+  return Math.min(maxOutputTokens, minOutputTokens + (hash32(requestId) % outputTokenSpread));
 }
 
 export function answerText(requestId: string, outputTokens: number): string {
@@ -32,7 +49,10 @@
   readonly startTimesMs: number[] = [];
   leavingSinceMs: number | undefined;
 
-  constructor(readonly address: string) {}
+  constructor(
+    readonly address: string,
+    private readonly options: EngineOptions = DEFAULT_ENGINE_OPTIONS,
+  ) {}
 
   /** Starts a stream; undefined means that the identity is known already. */
   start(
@@ -48,11 +68,12 @@
       requestId,
       startedAtMs: nowMs,
       promptTokens,
-      outputTokens: outputTokensOf(requestId, maxOutputTokens),
+      outputTokens: outputTokensOf(requestId, maxOutputTokens, this.options),
       cancelledAtMs: undefined,
     };
     this.streams.set(requestId, stream);
     this.startTimesMs.push(nowMs);
+    this.options.onStart?.(stream);
     return stream;
   }
 
@@ -65,13 +86,15 @@
 
   /** Time at which a chunk exists. */
   chunkAtMs(stream: FakeStream, index: number): number {
-    return stream.startedAtMs + PREFILL_MS + index * TOKEN_INTERVAL_MS;
+    const { prefillMs, tokenIntervalMs } = this.options;
+    return stream.startedAtMs + prefillMs + index * tokenIntervalMs;
   }
 
   /** Tokens that the engine generated until now. */
   generatedTokens(stream: FakeStream, nowMs: number): number {
     const untilMs = stream.cancelledAtMs ?? nowMs;
-    const count = Math.floor((untilMs - stream.startedAtMs - PREFILL_MS) / TOKEN_INTERVAL_MS) + 1;
+    const { prefillMs, tokenIntervalMs } = this.options;
+    const count = Math.floor((untilMs - stream.startedAtMs - prefillMs) / tokenIntervalMs) + 1;
     return Math.max(0, Math.min(stream.outputTokens, count));
   }
 }
--- a/packages/faults/src/index.ts
+++ b/packages/faults/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export type { ExchangeListener, WorldSetup } from './world.ts';
+export { World } from './world.ts';
+export type { Host } from './host.ts';
+export type { Place } from './place.ts';
+export { EventQueue } from './eventQueue.ts';
+export { FaultPlan } from './faultPlan.ts';
+export type { EngineOptions, FakeStream } from './fakes/fakeEngine.ts';
+export { outputTokensOf } from './fakes/fakeEngine.ts';
+export { FAR_REGION, NEAR_REGION, SERVICE_ADDRESS, storedSections } from './fleet.ts';
+export { FAR_LATENCY_MS, NEAR_LATENCY_MS } from './options.ts';
+export { startChange } from './operator.ts';
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -7,25 +7,12 @@
 import { FakeEngine } from './fakes/fakeEngine.ts';
 import { FakeService } from './fakes/fakeService.ts';
 import type { FaultPlan } from './faultPlan.ts';
-import {
-  ENGINE_ADDRESSES,
-  FAR_REGION,
-  NEAR_REGION,
-  OPERATOR_KEY_SHA256,
-  SERVICE_ADDRESS,
-  routerIdentities,
-  storedSections,
-} from './fleet.ts';
+import { FAR_REGION, NEAR_REGION, OPERATOR_KEY_SHA256 } from './fleet.ts';
 import type { Host } from './host.ts';
 import { createHost } from './host.ts';
-import {
-  FAR_LATENCY_MS,
-  MATRIX_CORE_OPTIONS,
-  MAX_STEP_GAP_MS,
-  MEMBER_LAG_MS,
-  NEAR_LATENCY_MS,
-  REPLACE_AFTER_MS,
-} from './options.ts';
+import { FAR_LATENCY_MS, MAX_STEP_GAP_MS, MEMBER_LAG_MS, NEAR_LATENCY_MS } from './options.ts';
+import type { Place } from './place.ts';
+import { MATRIX_PLACE } from './place.ts';
 import type { Fault, Violation } from './types.ts';
 import { FaultKind, PromiseName } from './types.ts';
 
@@ -49,6 +36,8 @@
   readonly seed: number;
   readonly plan: FaultPlan;
   readonly tamper?: Tamper;
+  /** The fleet and its timing; the matrix's own if missing. */
+  readonly place?: Place;
 }
 
 /**
@@ -58,8 +47,9 @@
 export class World {
   readonly queue = new EventQueue();
   readonly table = new TableStore();
-  readonly engines = new Map(ENGINE_ADDRESSES.map((address) => [address as string, new FakeEngine(address)]));
-  readonly service = new FakeService(SERVICE_ADDRESS);
+  readonly place: Place;
+  readonly engines: ReadonlyMap<string, FakeEngine>;
+  readonly service: FakeService;
   readonly hosts: Host[];
   readonly random: () => number;
   readonly plan: FaultPlan;
@@ -83,7 +73,13 @@
     this.random = seededRandom(setup.seed);
     this.plan = setup.plan;
     this.tamper = setup.tamper ?? {};
-    this.hosts = routerIdentities().map((identity, index) => createHost(index, identity));
+    this.place = setup.place ?? MATRIX_PLACE;
+    const { engineAddresses, engineOptions, serviceAddress } = this.place;
+    this.engines = new Map(
+      engineAddresses.map((address) => [address, new FakeEngine(address, engineOptions)]),
+    );
+    this.service = new FakeService(serviceAddress);
+    this.hosts = this.place.identities.map((identity, index) => createHost(index, identity));
     this.fillTable();
     for (const host of this.hosts) {
       this.startHost(host);
@@ -131,6 +127,13 @@
     return a !== b && this.nowMs < this.cutUntilMs;
   }
 
+  /** Tells the place's meter, if it has one, what crosses the region link. */
+  meterLink(a: string, b: string, payload: unknown): void {
+    if (a !== b) {
+      this.place.onLinkTransfer?.(payload);
+    }
+  }
+
   latencyMs(a: string, b: string): number {
     return a === b ? NEAR_LATENCY_MS : FAR_LATENCY_MS;
   }
@@ -147,7 +150,7 @@
   crash(host: Host): void {
     this.endProcess(host);
     this.publishMembers(MEMBER_LAG_MS);
-    this.after(REPLACE_AFTER_MS, () => {
+    this.after(this.place.replaceAfterMs, () => {
       this.startHost(host);
       this.publishMembers(0);
     });
@@ -196,7 +199,7 @@
       random: seededRandom(Math.floor(this.random() * 2 ** 32)),
       clock: this.clock(),
       parseConfiguration: parseConfigurationSections,
-      options: MATRIX_CORE_OPTIONS,
+      options: this.place.coreOptions,
     });
     this.receive(host, { kind: EventKind.Tick });
   }
@@ -322,7 +325,7 @@
   }
 
   private fillTable(): void {
-    const sections = storedSections();
+    const { sections } = this.place;
     const writes = sections.map(({ name, ...section }) => ({
       key: `config/section/${name}`,
       value: { name, ...section },
