Do not read a budget again that cannot cover the waiting request

A request whose share was short read the budget row without a pause while any remainder was left, although chooseDraw takes nothing from a remainder that does not cover a request. The interval check did the same each second.

The remainder is now compared with what is missing, and a waiting request reads the row again every 100 ms, in case another router gave money back.

--- a/packages/core/src/money/moneyController.ts
+++ b/packages/core/src/money/moneyController.ts
@@ -81,7 +81,9 @@
   const waiting = (context.board.money.waiters.get(organisationId)?.size ?? 0) > 0;
   const low = availableMicros(share) < LOW_WATER_FRACTION * shareTargetMicros(context, share);
   const ledger = ledgerOf(context, organisationId);
-  const exhausted = ledger.reachable && ledger.freeMicros <= 0;
+  // chooseDraw takes nothing from a remainder that does not cover a request, so it is not read for a refill.
+  const shortMicros = Math.max(1, share.worstCaseMicros - availableMicros(share));
+  const exhausted = ledger.reachable && ledger.freeMicros < shortMicros;
   return (
     waiting || (low && !exhausted) || share.pendingReturnMicros > 0 || returnableMicros(context, share) > 0
   );
--- a/packages/core/src/money/reserve.ts
+++ b/packages/core/src/money/reserve.ts
@@ -28,6 +28,9 @@
   readonly redirectAddress: string | undefined;
 }
 
+/** While a share is short the budget is read again at this interval, in case another router gave money back. */
+const REREAD_INTERVAL_MS = 100;
+
 /** Sets the worst case of a request aside in this router's share, waiting a bounded time if the share is short. */
 export function* reserve(
   context: CoreContext,
@@ -57,16 +60,18 @@
   waiter: ShareWaiter,
 ): Task<Result<Reservation, ReserveFailure>> {
   const deadlineMs = Math.min(request.deadlineMs, context.clock.monotonicMs + context.options.reserveWaitMs);
+  let rereadAtMs = context.clock.monotonicMs + REREAD_INTERVAL_MS;
   context.board.money.drawRequests.push(request.organisationId);
   while (context.board.confirmation === Confirmation.Confirmed && context.clock.monotonicMs < deadlineMs) {
-    yield* receive(waiter.channel, deadlineMs);
+    yield* receive(waiter.channel, Math.min(deadlineMs, rereadAtMs));
     const reservation = tryReserve(context, request);
     if (reservation !== undefined) {
       return ok(reservation);
     }
-    // An exhausted budget is not read again and again; the wait goes on for releases.
-    if (ledgerOf(context, request.organisationId).freeMicros > 0) {
+    // A remainder that does not cover the request is not read again and again.
+    if (isCoveredByRemainder(context, request) || context.clock.monotonicMs >= rereadAtMs) {
       context.board.money.drawRequests.push(request.organisationId);
+      rereadAtMs = context.clock.monotonicMs + REREAD_INTERVAL_MS;
     }
   }
   return err({
@@ -75,6 +80,11 @@
   });
 }
 
+function isCoveredByRemainder(context: CoreContext, request: ReserveRequest): boolean {
+  const shortMicros = request.amountMicros - availableMicros(shareOf(context, request.organisationId));
+  return ledgerOf(context, request.organisationId).freeMicros >= shortMicros;
+}
+
 function failureReason(context: CoreContext, organisationId: string): ReserveFailure['reason'] {
   if (context.board.confirmation === Confirmation.Unconfirmed) {
     return RefusalReason.Paused;
