--- a/packages/faults/src/fleet.ts
+++ b/packages/faults/src/fleet.ts
@@ -7,9 +7,7 @@
 export const ENGINE_ADDRESSES = ['127.1.0.31:8400', '127.1.0.32:8400', '127.2.0.31:8400'] as const;
 export const LEAVING_ENGINE_ADDRESS = ENGINE_ADDRESSES[1];
 /** One engine ignores fencing numbers, as some do. */
-export function honoursFencing(address: string): boolean {
-  return address !== ENGINE_ADDRESSES[0];
-}
+export const FENCING_IGNORED_BY = ENGINE_ADDRESSES[0];
 
 export const SERVICE_ADDRESS = '127.1.0.50:8500';
 export const MODEL = 'assistant-small';
@@ -115,7 +113,7 @@
       availabilityZone: ['near-a', 'near-b', 'far-a'][index],
       models: [MODEL],
       maxConcurrent: 16,
-      honoursFencing: honoursFencing(address),
+      honoursFencing: address !== FENCING_IGNORED_BY,
     })),
   ),
 };
