--- /dev/null
+++ b/packages/bench/src/slopes/measureTransport.ts
@@ -0,0 +1,85 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { CoreEvent } from '@pimentostall/core';
+import { pino } from 'pino';
+import { DEFAULT_SHELL_OPTIONS } from '../../../shell/src/options.ts';
+import { PeerAdapter } from '../../../shell/src/peers/peerAdapter.ts';
+import { heartbeatOf, senderOf, shareLevelsOf } from './fleetModel.ts';
+import type { SlopeOptions } from './options.ts';
+import { sizesOf } from './options.ts';
+import type { Series } from './series.ts';
+import { ORGANISATIONS_PER_ROUTER, ROUTERS_PER_REGION } from './target.ts';
+
+const SIZES = [200, 1_000, 2_000];
+/** Below the limit of calls in flight to one peer, above which messages are dropped. */
+const BATCH = 50;
+const POLL_MS = 1;
+const MICROS_PER_MILLISECOND = 1_000;
+
+function createAdapter(index: number, receive: (event: CoreEvent) => void): PeerAdapter {
+  return new PeerAdapter({
+    sink: {
+      submit: receive,
+      stepped: () => Promise.resolve(),
+    },
+    options: DEFAULT_SHELL_OPTIONS,
+    logger: pino({ level: 'silent' }),
+    resolveAddress: (address) => address,
+    sender: () => senderOf(index),
+  });
+}
+
+async function sendAll(
+  sender: PeerAdapter,
+  address: string,
+  count: number,
+  received: () => number,
+): Promise<void> {
+  const message = heartbeatOf(0, shareLevelsOf(ORGANISATIONS_PER_ROUTER));
+  for (let sent = 0; sent < count; sent += BATCH) {
+    for (let index = sent; index < Math.min(count, sent + BATCH); index += 1) {
+      sender.send(address, message);
+    }
+    while (received() < Math.min(count, sent + BATCH)) {
+      await sleep(POLL_MS);
+    }
+  }
+}
+
+async function measureMessages(count: number): Promise<number> {
+  let received = 0;
+  const sender = createAdapter(0, () => undefined);
+  const receiver = createAdapter(2, () => {
+    received += 1;
+  });
+  const address = await receiver.listen('127.0.0.1:0');
+  try {
+    await sendAll(sender, address, 1, () => received);
+    received = 0;
+    const before = process.cpuUsage();
+    await sendAll(sender, address, count, () => received);
+    const { user, system } = process.cpuUsage(before);
+    return (user + system) / MICROS_PER_MILLISECOND;
+  } finally {
+    await Promise.all([sender.close(), receiver.close()]);
+  }
+}
+
+/** Heartbeats over gRPC on the loopback interface; both ends run in this process. */
+export async function measureTransport(options: SlopeOptions): Promise<Series[]> {
+  const results = sizesOf(options, SIZES).map((size) => ({ size, values: [] as number[] }));
+  for (let repeat = 0; repeat < options.repeats; repeat += 1) {
+    for (const { size, values } of results) {
+      values.push(await measureMessages(size));
+    }
+  }
+  return [
+    {
+      id: 'transport.heartbeats',
+      quantity: 'heartbeats over gRPC, both ends together',
+      unit: 'ms',
+      sizeUnit: 'messages',
+      targetSize: ROUTERS_PER_REGION - 1,
+      points: results,
+    },
+  ];
+}
