Keep the scheduler's deadlines in a heap

Every step scanned all tasks twice: once for expired deadlines and once for the next one. A router has a task for each open request and steps for each token, so the cost of a token grew with the open requests.

--- a/packages/core/src/scheduler/__tests__/scheduler.test.ts
+++ b/packages/core/src/scheduler/__tests__/scheduler.test.ts
@@ -59,3 +59,54 @@
   assert.deepEqual(failures, ['broken']);
   assert.ok(otherRan);
 });
+
+test('tasks that expire together run in the order in which they were spawned (a seed must repeat a run)', () => {
+  const scheduler = new Scheduler(failOnDefect);
+  const order: number[] = [];
+  function* sleeper(deadlineMs: number): Task<void> {
+    yield* sleepUntil(deadlineMs);
+    order.push(deadlineMs);
+  }
+  for (const deadlineMs of [30, 10, 20]) {
+    scheduler.spawn('sleeper', sleeper(deadlineMs));
+  }
+  scheduler.run(0);
+  assert.equal(scheduler.nextDeadlineMs, 10);
+  scheduler.run(40);
+  assert.deepEqual(order, [30, 10, 20]);
+});
+
+test('the deadline of a wait that an item ended does not wake the task later', () => {
+  const scheduler = new Scheduler(failOnDefect);
+  const channel = new Channel<number>();
+  let resumeCount = 0;
+  function* reader(): Task<void> {
+    yield* receive(channel, 10);
+    resumeCount += 1;
+    yield* sleepUntil(50);
+    resumeCount += 1;
+  }
+  scheduler.spawn('reader', reader());
+  scheduler.run(0);
+  channel.push(1);
+  scheduler.run(5);
+  assert.equal(scheduler.nextDeadlineMs, 50);
+  scheduler.run(20);
+  assert.equal(resumeCount, 1);
+});
+
+test('a task that fails while it begins to wait leaves no deadline behind', () => {
+  const failures: string[] = [];
+  const scheduler = new Scheduler((taskName) => failures.push(taskName));
+  const channel = new Channel<number>();
+  function* reader(): Task<void> {
+    yield* receive(channel, 10);
+  }
+  scheduler.spawn('first', reader());
+  scheduler.spawn('second', reader());
+  scheduler.run(0);
+  assert.deepEqual(failures, ['second']);
+  channel.push(1);
+  scheduler.run(5);
+  assert.deepEqual([scheduler.taskCount, scheduler.nextDeadlineMs], [0, Infinity]);
+});
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -1,7 +1,11 @@
+import type { DeadlineEntry } from './deadlineHeap.ts';
+import { DeadlineHeap } from './deadlineHeap.ts';
 import type { Task, Wait } from './task.ts';
 
-interface RunningTask {
+interface RunningTask extends DeadlineEntry {
   readonly name: string;
+  /** Position among all tasks ever spawned. */
+  readonly spawnOrder: number;
   readonly generator: Task<void>;
   wait: Wait | undefined;
   runnable: boolean;
@@ -16,13 +20,25 @@
  */
 export class Scheduler {
   private readonly tasks = new Set<RunningTask>();
+  private spawnedCount = 0;
+  /** Tasks that wait with a finite deadline. */
+  private readonly deadlines = new DeadlineHeap<RunningTask>();
   private readonly runQueue: RunningTask[] = [];
 
   constructor(private readonly onTaskFailure: TaskFailureHandler) {}
 
   /** Adds a task; it first runs in the current or the next call of `run`. */
   spawn(name: string, generator: Task<void>): void {
-    const task: RunningTask = { name, generator, wait: undefined, runnable: false };
+    const task: RunningTask = {
+      name,
+      spawnOrder: this.spawnedCount,
+      generator,
+      wait: undefined,
+      runnable: false,
+      deadlineMs: Infinity,
+      heapIndex: undefined,
+    };
+    this.spawnedCount += 1;
     this.tasks.add(task);
     this.makeRunnable(task);
   }
@@ -37,22 +53,27 @@
 
   /** The earliest deadline that any task waits for, in monotonic milliseconds; Infinity if there is none. */
   get nextDeadlineMs(): number {
-    let earliestMs = Infinity;
-    for (const task of this.tasks) {
-      earliestMs = Math.min(earliestMs, task.wait?.deadlineMs ?? Infinity);
-    }
-    return earliestMs;
+    return this.deadlines.earliest?.deadlineMs ?? Infinity;
   }
 
   get taskCount(): number {
     return this.tasks.size;
   }
 
+  /** Expired tasks run in the order in which they were spawned, whatever their deadlines were. */
   private wakeExpired(nowMs: number): void {
-    for (const task of this.tasks) {
-      if (task.wait !== undefined && task.wait.deadlineMs <= nowMs) {
-        this.makeRunnable(task);
+    const expired: RunningTask[] = [];
+    for (;;) {
+      const task = this.deadlines.earliest;
+      if (task === undefined || task.deadlineMs > nowMs) {
+        break;
       }
+      this.deadlines.remove(task);
+      expired.push(task);
+    }
+    expired.sort((a, b) => a.spawnOrder - b.spawnOrder);
+    for (const task of expired) {
+      this.makeRunnable(task);
     }
   }
 
@@ -75,12 +96,17 @@
       this.park(task, result.value, nowMs);
     } catch (cause) {
       this.tasks.delete(task);
+      this.deadlines.remove(task);
       this.onTaskFailure(task.name, cause);
     }
   }
 
   private park(task: RunningTask, wait: Wait, nowMs: number): void {
     task.wait = wait;
+    task.deadlineMs = wait.deadlineMs;
+    if (wait.deadlineMs < Infinity) {
+      this.deadlines.add(task);
+    }
     for (const channel of wait.channels) {
       channel.attachWaiter(() => {
         this.makeRunnable(task);
@@ -95,6 +121,7 @@
     for (const channel of task.wait?.channels ?? []) {
       channel.detachWaiter();
     }
+    this.deadlines.remove(task);
     task.wait = undefined;
   }
 }
