--- a/packages/bench/src/slopes/runSlopes.ts
+++ b/packages/bench/src/slopes/runSlopes.ts
@@ -5,6 +5,7 @@
 import { measureHistograms } from './measureHistograms.ts';
 import { measureLedger } from './measureLedger.ts';
 import { measureMembership } from './measureMembership.ts';
+import { measureQueries } from './measureQueries.ts';
 import { measureRequests } from './measureRequests.ts';
 import { measureRouting } from './measureRouting.ts';
 import { measureSettlement } from './measureSettlement.ts';
@@ -25,6 +26,7 @@
     settlement: measureSettlement,
     bills: measureBills,
     copies: measureCopies,
+    queries: measureQueries,
     configuration: measureConfiguration,
     routing: measureRouting,
     requests: measureRequests,
