--- a/packages/bench/src/slopes/measureRequests.ts
+++ b/packages/bench/src/slopes/measureRequests.ts
@@ -1,5 +1,5 @@
 import type { CoreEvent, Effect } from '@pimentostall/core';
-import { CallerRequestKind, EffectKind, EventKind } from '@pimentostall/core';
+import { CallerRequestKind, EffectKind, EventKind, RouterState } from '@pimentostall/core';
 import { configure, documentOf, FIRST_MODEL, keyOf } from './configurationModel.ts';
 import { DrivenRouter } from './drivenRouter.ts';
 import { addShares } from './ledgerModel.ts';
@@ -24,6 +24,7 @@
   router.advance(1_000);
   configure(router, documentOf(ORGANISATIONS, engines));
   addShares(router, ORGANISATIONS);
+  router.core.board.routerState = RouterState.Live;
   return router;
 }
 
