Run faults against real processes on loopback

Cause: the fault matrix steps the core in one process, and the demo runs one schedule of faults. Signals, broken sockets and process exits were covered only by that one schedule.

Change: `npm run faults:processes` runs eight scenarios with a fleet of its own each (6 routers, 3 engines, 1 service, platform, link), three at a time. It reuses the fleet, the callers and the auditor of the demo; the parts that end processes and wait for settlement are now modules that both use. The top-ups go through the administration API, as an operator sends them, and are repeated with the same change identifier. A process that ends unasked, a funded amount that differs, a cut-off request during a graceful stop and a late stream on a leaving engine are violations besides those of the auditor.

--- a/packages/demo/src/auditor/__tests__/audit.test.ts
+++ b/packages/demo/src/auditor/__tests__/audit.test.ts
@@ -18,6 +18,7 @@
     outcome: CallOutcome.Answered,
     detail: '',
     attemptCount: 1,
+    brokenCount: 0,
     ...fields,
   };
 }
--- a/packages/demo/src/auditor/types.ts
+++ b/packages/demo/src/auditor/types.ts
@@ -32,6 +32,8 @@
   /** What each attempt gave, in their order. */
   readonly detail: string;
   readonly attemptCount: number;
+  /** Attempts that were cut off: they ended with neither an answer nor a verdict. */
+  readonly brokenCount: number;
 }
 
 export interface BillEntry {
--- a/packages/demo/src/callers/caller.ts
+++ b/packages/demo/src/callers/caller.ts
@@ -64,6 +64,7 @@
     outcome: outcomeOf(results),
     detail: results.map(detailOf).join('; '),
     attemptCount: results.length,
+    brokenCount: results.filter(({ kind }) => kind === 'broken').length,
   };
 }
 
--- a/packages/demo/src/fleet/collectEvidence.ts
+++ b/packages/demo/src/fleet/collectEvidence.ts
@@ -1,4 +1,5 @@
 import type { TableRow } from '@pimentostall/core';
+import type { EngineAuditEntry } from '@pimentostall/standins';
 import type {
   BillEntry,
   BudgetState,
@@ -62,15 +63,21 @@
   return Object.fromEntries(entries.map(([identity, entry]) => [keyOfScopedIdentity(identity), entry]));
 }
 
+/** Last records of engines that were killed, by address. They are a lower bound of what these engines ran. */
+export type EngineSnapshots = ReadonlyMap<string, Readonly<Record<string, EngineAuditEntry>>>;
+
 /** Collects the records of the stand-ins and joins them with those of the callers. */
 export async function collectEvidence(
   plan: FleetPlan,
   funding: readonly Funding[],
   calls: readonly CallRecord[],
+  snapshots: EngineSnapshots = new Map(),
 ): Promise<Evidence> {
   const [money, engines, services] = await Promise.all([
     readMoneyRows(plan.platformAddress),
-    Promise.all(plan.engines.map(({ address }) => engineAudit(address))),
+    Promise.all(
+      plan.engines.map(async ({ address }) => snapshots.get(address) ?? (await engineAudit(address))),
+    ),
     Promise.all(plan.services.map(({ address }) => serviceAudit(address))),
   ]);
   return {
@@ -80,7 +87,7 @@
     engines: engines.map(byKey),
     services: services.map(byKey),
     prices: PRICES,
-    // The demo takes no engine down.
+    // No run takes all engines down.
     engineUpAt: () => true,
   };
 }
--- a/packages/demo/src/fleet/processGroup.ts
+++ b/packages/demo/src/fleet/processGroup.ts
@@ -37,7 +37,17 @@
 
   /** Ends one process at once, as the loss of its VM does. */
   kill(name: string): void {
-    this.#children.get(name)?.kill('SIGKILL');
+    this.signal(name, 'SIGKILL');
+  }
+
+  signal(name: string, signal: NodeJS.Signals): void {
+    this.#children.get(name)?.kill(signal);
+  }
+
+  /** The exit code of a process, or the signal that ended it; undefined while it runs. */
+  exitOf(name: string): number | NodeJS.Signals | undefined {
+    const child = this.#children.get(name);
+    return child?.exitCode ?? child?.signalCode ?? undefined;
   }
 
   /** Names and exit codes of the processes that have ended. */
--- a/packages/demo/src/place/configurationRows.ts
+++ b/packages/demo/src/place/configurationRows.ts
@@ -80,9 +80,14 @@
   return [...sections, revisionRow(FIRST_REVISION)];
 }
 
+/** The text of the budgets section with the later top-ups. */
+export function toppedUpBudgetsText(organisations: readonly DemoOrganisation[]): string {
+  return stringify(budgets(organisations, true));
+}
+
 /** The rows of the second revision, which only adds the later top-ups. */
 export function topUpRows(organisations: readonly DemoOrganisation[], nowMs: number): RowWrite[] {
-  const text = stringify(budgets(organisations, true));
+  const text = toppedUpBudgetsText(organisations);
   const section = { ...sectionBase(SectionName.Budgets, nowMs), version: 2, text, changeId: 'demo-top-up' };
   return [sectionRow(section), revisionRow(FIRST_REVISION + 1)];
 }
--- a/packages/demo/src/place/fleetPlan.ts
+++ b/packages/demo/src/place/fleetPlan.ts
@@ -52,7 +52,7 @@
 }
 
 function addressIn(place: Place, region: string, host: number, port: number): string {
-  return `127.${regionNumber(place, region)}.${place.octet}.${host}:${port}`;
+  return `127.${regionNumber(place, region)}.${place.octet}.${host}:${port + place.portOffset}`;
 }
 
 interface Slot {
--- a/packages/demo/src/place/places.ts
+++ b/packages/demo/src/place/places.ts
@@ -12,6 +12,8 @@
   readonly name: string;
   /** Third octet of every address of the place, so that two places run side by side. */
   readonly octet: number;
+  /** Added to every port, so that runs beside each other can use other ports. */
+  readonly portOffset: number;
   /** The first region holds the store. */
   readonly regions: readonly [string, string];
   readonly zones: readonly ZonePlan[];
@@ -24,7 +26,7 @@
   readonly linkDelayMs: number;
 }
 
-function zone(
+export function zone(
   region: string,
   suffix: string,
   counts: readonly [routers: number, engines: number, services: number],
@@ -37,6 +39,7 @@
   {
     name: 'tundu',
     octet: 10,
+    portOffset: 0,
     regions: ['nairobi', 'mombasa'],
     zones: [
       zone('nairobi', 'a', [3, 2, 1]),
@@ -54,6 +57,7 @@
   {
     name: 'botella',
     octet: 20,
+    portOffset: 0,
     regions: ['golfo', 'pacifico'],
     zones: [zone('golfo', 'a', [3, 2, 1]), zone('golfo', 'b', [2, 1, 1]), zone('pacifico', 'a', [2, 1, 1])],
     modelServiceId: 'pluma',
--- /dev/null
+++ b/packages/demo/src/processFaults/faultPlace.ts
@@ -0,0 +1,25 @@
+import type { Place } from '../place/places.ts';
+import { zone } from '../place/places.ts';
+import { FaultScenario } from './types.ts';
+
+/** Outside the octets of the demo, which may run at the same time. */
+const FIRST_OCTET = 30;
+const DEMO_BASE_PORT = 18_000;
+
+/** A small fleet with addresses of its own for each scenario. */
+export function faultPlace(scenario: FaultScenario, basePort: number): Place {
+  return {
+    name: scenario,
+    octet: FIRST_OCTET + Object.values(FaultScenario).indexOf(scenario),
+    portOffset: basePort - DEMO_BASE_PORT,
+    regions: ['near', 'far'],
+    zones: [zone('near', 'a', [2, 1, 1]), zone('near', 'b', [2, 1, 0]), zone('far', 'a', [2, 1, 0])],
+    modelServiceId: 'assistant',
+    model: 'assistant-small',
+    plainServiceId: 'orders',
+    orderPath: '/orders',
+    lookupPath: '/stock',
+    honoursKey: false,
+    linkDelayMs: 8,
+  };
+}
--- a/packages/demo/src/runDemo.ts
+++ b/packages/demo/src/runDemo.ts
@@ -1,9 +1,7 @@
-import { mkdirSync, mkdtempSync, rmSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import path from 'node:path';
 import type { AuditSummary } from './auditor/audit.ts';
 import { addSummaries, promisesHeld } from './auditor/audit.ts';
-import { ProcessGroup } from './fleet/processGroup.ts';
+import type { ProcessGroup } from './fleet/processGroup.ts';
+import { runWithProcesses } from './fleet/runWithProcesses.ts';
 import { PLACES } from './place/places.ts';
 import { findingLines, refusalLines, slowestLines } from './report/findingLines.ts';
 import { organisationTable } from './report/organisationTable.ts';
@@ -42,37 +40,28 @@
 /** Runs all places side by side and returns the exit code: 0 only if every place proves its promises. */
 export async function runDemo(): Promise<number> {
   const startMs = Date.now();
-  const folder = mkdtempSync(path.join(tmpdir(), 'pimentostall-demo-'));
-  const groups = PLACES.map((place) => {
-    // Both places have a platform and a link, so each needs a folder of its own.
-    const placeFolder = path.join(folder, place.name);
-    mkdirSync(placeFolder);
-    return { place, processes: new ProcessGroup(placeFolder) };
-  });
-  // Also covers an uncaught error, after which no asynchronous cleanup runs.
-  process.on('exit', () => {
-    groups.forEach(({ processes }) => {
-      processes.killAll();
-    });
-  });
-  const ending = endSignal(RUN_LIMIT_MS);
-  const runs = Promise.all(groups.map(({ place, processes }) => runPlace(place, processes, print)));
-  let ended: DemoEnd = { exitCode: 1, lastLine: FAILED_LINE };
-  try {
-    const results = await Promise.race([runs, ending.reached]);
-    ended = reportResults(results);
-  } catch (error) {
-    print(`the demo failed: ${error instanceof Error ? error.message : String(error)}`);
-  } finally {
-    ending.cancel();
-    // A run that was given up may still fail after its processes are stopped.
-    runs.catch(() => undefined);
-    await Promise.all(groups.map(({ processes }) => processes.stopAll()));
-    cleanUp(folder, ended.exitCode);
-  }
+  const ended = await runWithProcesses<DemoEnd>(
+    {
+      folderPrefix: 'pimentostall-demo-',
+      // Both places have a platform and a link, so each needs a group of its own.
+      names: PLACES.map(({ name }) => name),
+      limitMs: RUN_LIMIT_MS,
+      print,
+      succeeded: ({ exitCode }) => exitCode === 0,
+    },
+    runPlaces,
+  );
   print(`the demo took ${Date.now() - startMs} ms`);
-  print(ended.lastLine);
-  return ended.exitCode;
+  print(ended?.lastLine ?? FAILED_LINE);
+  return ended?.exitCode ?? 1;
+}
+
+async function runPlaces(groups: readonly ProcessGroup[]): Promise<DemoEnd> {
+  const runs = PLACES.flatMap((place, index) => {
+    const processes = groups[index];
+    return processes === undefined ? [] : [runPlace(place, processes, print)];
+  });
+  return reportResults(await Promise.all(runs));
 }
 
 function reportResults(results: readonly PlaceResult[]): DemoEnd {
@@ -86,31 +75,3 @@
   const lastLine = JSON.stringify({ ...total, promisesHeld: held, completed: true });
   return { exitCode: held ? 0 : 1, lastLine };
 }
-
-/** Rejects at the time limit or at SIGINT or SIGTERM, so that the processes are always ended. */
-function endSignal(limitMs: number): { readonly reached: Promise<never>; readonly cancel: () => void } {
-  let cancel = (): void => undefined;
-  const reached = new Promise<never>((_, reject) => {
-    const timer = setTimeout(() => {
-      reject(new Error(`the time limit of ${limitMs} ms was reached`));
-    }, limitMs);
-    const stop = (signal: NodeJS.Signals) => {
-      reject(new Error(`stopped by ${signal}`));
-    };
-    process.on('SIGINT', stop);
-    process.on('SIGTERM', stop);
-    cancel = () => {
-      clearTimeout(timer);
-    };
-  });
-  return { reached, cancel };
-}
-
-/** Logs are kept after a failure. */
-function cleanUp(folder: string, exitCode: number): void {
-  if (exitCode === 0) {
-    rmSync(folder, { recursive: true });
-  } else {
-    print(`settings and logs of the processes are in ${folder}`);
-  }
-}
--- a/packages/demo/src/runPlace.ts
+++ b/packages/demo/src/runPlace.ts
@@ -1,20 +1,18 @@
 import type { AuditReport, AuditSummary } from './auditor/audit.ts';
 import { audit, summarise } from './auditor/audit.ts';
-import type { CallRecord, Evidence, Funding } from './auditor/types.ts';
+import type { Evidence, Funding } from './auditor/types.ts';
 import { runTraffic } from './callers/runTraffic.ts';
-import { collectEvidence, readMoneyRows, unbilledCount } from './fleet/collectEvidence.ts';
+import { collectEvidence } from './fleet/collectEvidence.ts';
 import { runFaults } from './fleet/faultSchedule.ts';
 import type { ProcessGroup } from './fleet/processGroup.ts';
 import { startFleet } from './fleet/startFleet.ts';
-import type { FleetPlan } from './place/fleetPlan.ts';
+import { waitForSettlement } from './fleet/waitForSettlement.ts';
 import { planFleet } from './place/fleetPlan.ts';
 import { demoOrganisations } from './place/organisations.ts';
 import type { Place } from './place/places.ts';
 
 const START_LIMIT_MS = 20_000;
 const TRAFFIC_MS = 14_000;
-const SETTLE_LIMIT_MS = 8_000;
-const SETTLE_POLL_MS = 500;
 
 export interface PlaceResult {
   readonly place: Place;
@@ -58,19 +56,3 @@
   const report = audit(evidence);
   return { place, evidence, report, summary: summarise(evidence, report) };
 }
-
-async function waitForSettlement(
-  plan: FleetPlan,
-  calls: readonly CallRecord[],
-  progress: (message: string) => void,
-): Promise<void> {
-  const deadlineMs = Date.now() + SETTLE_LIMIT_MS;
-  let unbilled = unbilledCount(await readMoneyRows(plan.platformAddress), calls);
-  while (unbilled > 0 && Date.now() < deadlineMs) {
-    await new Promise((resolve) => setTimeout(resolve, SETTLE_POLL_MS));
-    unbilled = unbilledCount(await readMoneyRows(plan.platformAddress), calls);
-  }
-  progress(
-    unbilled === 0 ? 'all answers are billed' : `${unbilled} answers are not billed at the time limit`,
-  );
-}
