Measure a router process against a bare undici pipe

Cause: nothing measured what a router adds to the time to the first token, or what share of a pipe's throughput it reaches.

Change: `npm run bench:router` starts a platform, three engines that stream without a model, a pipe and a router as processes, and two load processes. Runs of both variants alternate. The platform's audit is compared before and after, and covered requests are sent while the store is down, which answers them only if no store call lies on their path.

--- /dev/null
+++ b/packages/bench/src/router/loadGenerators.ts
@@ -0,0 +1,58 @@
+import type { ChildProcess } from 'node:child_process';
+import { fork } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+import type { Load, LoadOrder, LoadResult } from './loadTypes.ts';
+
+/** One process could not read what the pipe relays. */
+const GENERATOR_COUNT = 2;
+const LOAD_PROCESS = fileURLToPath(new URL('loadProcess.ts', import.meta.url));
+
+/** The load processes; together they give the load of an order. */
+export class LoadGenerators {
+  readonly #children: ChildProcess[] = Array.from({ length: GENERATOR_COUNT }, () =>
+    fork(LOAD_PROCESS, { execArgv: ['--import', 'tsx'] }),
+  );
+
+  async run(order: LoadOrder): Promise<LoadResult> {
+    const part = { ...order, load: divide(order.load) };
+    const results = await Promise.all(this.#children.map((child) => runOn(child, part)));
+    return {
+      answered: sum(results.map(({ answered }) => answered)),
+      failed: sum(results.map(({ failed }) => failed)),
+      elapsedMs: Math.max(...results.map(({ elapsedMs }) => elapsedMs)),
+      firstTokenMs: results.flatMap(({ firstTokenMs }) => firstTokenMs),
+    };
+  }
+
+  stop(): void {
+    for (const child of this.#children) {
+      child.kill('SIGKILL');
+    }
+  }
+}
+
+function runOn(child: ChildProcess, order: LoadOrder): Promise<LoadResult> {
+  return new Promise((resolve, reject) => {
+    child.once('message', (result) => {
+      child.removeAllListeners('exit');
+      resolve(result as LoadResult);
+    });
+    child.once('exit', () => {
+      reject(new Error('a load process ended'));
+    });
+    child.send(order);
+  });
+}
+
+function divide(load: Load): Load {
+  switch (load.kind) {
+    case 'closed':
+      return { ...load, connectionCount: Math.ceil(load.connectionCount / GENERATOR_COUNT) };
+    case 'open':
+      return { ...load, requestsPerSecond: load.requestsPerSecond / GENERATOR_COUNT };
+  }
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/packages/demo/src/fleet/processGroup.ts
+++ b/packages/demo/src/fleet/processGroup.ts
@@ -21,18 +21,25 @@
     this.#folder = folder;
   }
 
-  /** A group that is being stopped starts nothing more, or the new process would not be waited for. */
   start(plan: ProcessPlan): void {
-    if (this.#stopped) {
-      throw new Error(`${plan.name} is not started: the demo is ending`);
-    }
     const settingsFile = path.join(this.#folder, `${plan.name}.yaml`);
     writeFileSync(settingsFile, stringify(plan.settings));
-    const log = openSync(path.join(this.#folder, `${plan.name}.log`), 'a');
-    const args = ['--import', 'tsx', CLI_ENTRY, ...plan.command, '--settings', settingsFile];
+    this.startScript(plan.name, [CLI_ENTRY, ...plan.command, '--settings', settingsFile]);
+  }
+
+  /**
+   * Starts a script of this repository. A group that is being stopped starts nothing more, or the new process
+   * would not be waited for.
+   */
+  startScript(name: string, scriptAndArguments: readonly string[]): void {
+    if (this.#stopped) {
+      throw new Error(`${name} is not started: the run is ending`);
+    }
+    const log = openSync(path.join(this.#folder, `${name}.log`), 'a');
+    const args = ['--import', 'tsx', ...scriptAndArguments];
     const child = spawn(process.execPath, args, { cwd: REPOSITORY_ROOT, stdio: ['ignore', log, log] });
     closeSync(log);
-    this.#children.set(plan.name, child);
+    this.#children.set(name, child);
   }
 
   /** Ends one process at once, as the loss of its VM does. */
--- a/packages/demo/src/fleet/startFleet.ts
+++ b/packages/demo/src/fleet/startFleet.ts
@@ -34,7 +34,7 @@
 }
 
 /** A router is ready when it gives entry answers to an organisation of the configuration. */
-async function waitForRouters(
+export async function waitForRouters(
   plan: FleetPlan,
   organisations: readonly DemoOrganisation[],
   deadlineMs: number,
