Add a benchmark of the choice of engine

The choice of engine had only unit tests, which cannot show herding of many routers or the worth of prefix affinity. `npm run bench:routing` drives engine models, load reports and routers' own knowledge under a virtual clock and compares chooseEngine with least-loaded, round robin and random on the same arrivals.

--- /dev/null
+++ b/packages/bench/src/routing/planRuns.ts
@@ -0,0 +1,18 @@
+import type { RoutingBenchOptions } from './options.ts';
+import { SCENARIOS } from './scenarios.ts';
+import type { RunPlan } from './types.ts';
+import { ChooserKind } from './types.ts';
+
+export function planRuns({ seeds, scale }: RoutingBenchOptions): RunPlan[] {
+  const scenarios = SCENARIOS.map((scenario) => ({
+    ...scenario,
+    requestCount: Math.ceil(scenario.requestCount * scale),
+  }));
+  // The longest runs come first, so that no thread is left with one of them at the end.
+  const byLength = scenarios.sort((a, b) => b.requestCount - a.requestCount);
+  return byLength.flatMap((scenario) =>
+    Array.from({ length: seeds }, (_, index) => index + 1).flatMap((seed) =>
+      Object.values(ChooserKind).map((chooser) => ({ scenario, chooser, seed })),
+    ),
+  );
+}
--- /dev/null
+++ b/packages/bench/src/routing/routerView.ts
@@ -0,0 +1,74 @@
+import type { EngineCandidate, RandomSource, UpstreamInfo } from '@pimentostall/core';
+import { PrefixMemory } from '@pimentostall/core';
+import type { Chooser } from './choosers.ts';
+import { createChooser } from './choosers.ts';
+import type { EngineHost } from './engineHost.ts';
+import { MAX_CONCURRENT, MAX_PROBES_PER_INTERVAL } from './options.ts';
+import type { ChooserKind } from './types.ts';
+import { MODEL } from './workload.ts';
+
+function candidateOf({ address }: EngineHost): EngineCandidate {
+  const engine = {
+    engineId: address,
+    address,
+    region: 'near',
+    availabilityZone: 'near-a',
+    models: [MODEL],
+    maxConcurrent: MAX_CONCURRENT,
+    honoursFencing: true,
+  };
+  const info: UpstreamInfo = {
+    address,
+    ownInFlightCount: 0,
+    load: undefined,
+    loadReadAtMs: 0,
+    leaving: false,
+    leavingSeenAtMs: -Infinity,
+    consecutiveFailures: 0,
+    ejectedUntilMs: 0,
+    prefixes: new PrefixMemory(),
+  };
+  return { engine, info };
+}
+
+/** One router's own knowledge of the engines: what it sent, the reports that it read, the prefixes that it saw. */
+export class RouterView {
+  readonly candidates: readonly EngineCandidate[];
+  readonly #engines: readonly EngineHost[];
+  readonly #chooser: Chooser;
+  #probeIndex: number;
+
+  constructor(engines: readonly EngineHost[], chooser: ChooserKind, index: number, random: RandomSource) {
+    this.#engines = engines;
+    this.candidates = engines.map(candidateOf);
+    this.#chooser = createChooser(chooser, index);
+    this.#probeIndex = Math.floor(random() * engines.length);
+  }
+
+  choose(
+    prefixHashes: readonly string[],
+    excludedAddresses: ReadonlySet<string>,
+    nowMs: number,
+    random: RandomSource,
+  ): EngineCandidate | undefined {
+    const { candidates } = this;
+    return this.#chooser({ candidates, excludedAddresses, prefixHashes, nowMs, random });
+  }
+
+  /** Reads some engines in turn, as `probeController` does. */
+  probe(nowMs: number): void {
+    const count = Math.min(MAX_PROBES_PER_INTERVAL, this.#engines.length);
+    for (let offset = 0; offset < count; offset += 1) {
+      const index = (this.#probeIndex + offset) % this.#engines.length;
+      const info = this.candidates[index]?.info;
+      const load = this.#engines[index]?.report(nowMs);
+      if (info !== undefined && load !== undefined) {
+        info.load = load;
+        info.loadReadAtMs = nowMs;
+        info.leaving ||= load.leaving;
+        info.prefixes.remember(load.cachedPrefixHashes);
+      }
+    }
+    this.#probeIndex += count;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/routing/scenarios.ts
@@ -0,0 +1,32 @@
+import type { Scenario } from './types.ts';
+import { EngineUpset } from './types.ts';
+
+const small: Scenario = {
+  name: 'shared8',
+  routerCount: 8,
+  engineCount: 12,
+  requestCount: 3_000,
+  sharedPrefixes: true,
+  cacheEventLagMs: 1_000,
+  cacheEventGap: 5,
+  upset: EngineUpset.None,
+};
+
+const large: Scenario = {
+  ...small,
+  name: 'shared350',
+  routerCount: 350,
+  engineCount: 600,
+  requestCount: 15_000,
+};
+
+export const SCENARIOS: readonly Scenario[] = [
+  small,
+  { ...small, name: 'plain8', sharedPrefixes: false },
+  { ...small, name: 'lateCacheEvents8', cacheEventLagMs: 5_000, cacheEventGap: 2 },
+  { ...small, name: 'slowEngine8', upset: EngineUpset.Slow },
+  { ...small, name: 'deadEngine8', upset: EngineUpset.Dead },
+  { ...small, name: 'leavingEngine8', upset: EngineUpset.Leaving },
+  large,
+  { ...large, name: 'plain350', sharedPrefixes: false },
+];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,3 +14,8 @@
   REVISION_KEY,
   sectionKey,
 } from './configuration/storedRows.ts';
+export type { EngineCandidate, EngineChoice, EngineChoiceRequest } from './routing/chooseEngine.ts';
+export { chooseEngine, EngineChoiceKind } from './routing/chooseEngine.ts';
+export { prefixHashes } from './routing/prefixHashes.ts';
+export { PrefixMemory } from './routing/prefixMemory.ts';
+export type { UpstreamInfo } from './routing/types.ts';
--- a/packages/faults/src/index.ts
+++ b/packages/faults/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export { EventQueue } from './eventQueue.ts';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -2,6 +2,8 @@
 export type { EngineAuditEntry } from './engine/engineAudit.ts';
 export type { CacheEvent, EngineUsage } from './engine/engineModel.ts';
 export { EngineModel, SubmitOutcome } from './engine/engineModel.ts';
+export type { LoadReporterOptions } from './engine/loadReporter.ts';
+export { LoadReporter } from './engine/loadReporter.ts';
 export type { EngineModelOptions } from './engine/options.ts';
 export { DEFAULT_ENGINE_MODEL_OPTIONS } from './engine/options.ts';
 export { promptBlocks } from './engine/promptBlocks.ts';
