--- a/packages/bench/src/slopes/ledgerModel.ts
+++ b/packages/bench/src/slopes/ledgerModel.ts
@@ -40,6 +40,8 @@
       reachable: true,
       freeMicros: SHARE_MICROS,
       heldMicros: 0,
+      leftMicros: 10 * SHARE_MICROS,
+      portion: { ownMicros: 0, totalMicros: 0, lastOwnMicros: 0, lastTotalMicros: undefined, atMs: 0 },
       appliedTopUpIds: new Set(),
       lastSettleAtMs: 0,
       retryAtMs: 0,
