--- a/packages/core/src/money/__tests__/peers.test.ts
+++ b/packages/core/src/money/__tests__/peers.test.ts
@@ -51,7 +51,7 @@
   fleet.run(20);
   assert.equal(a.core.board.money.acknowledgedBy.get(recordKey(reservation))?.size, 2);
   a.dead = true;
-  const found = fleet.start(c, findRecords(c.context, 'r1'));
+  const found = fleet.start(c, findRecords(c.context, ORGANISATION, 'r1'));
   fleet.run(100);
   assert.equal(found.result?.records[0]?.upstreamAddress, 'engine:1');
   a.dead = false;
--- a/packages/core/src/money/copies.ts
+++ b/packages/core/src/money/copies.ts
@@ -1,31 +1,16 @@
 import type { CoreContext } from '../context.ts';
-import { liveRegionPeers } from '../membership/livePeers.ts';
-import type { PeerInfo } from '../membership/types.ts';
 import { receive } from '../scheduler/task.ts';
 import type { Task } from '../scheduler/task.ts';
 import { EffectKind } from '../types/effects.ts';
 import type { UsageRecord } from '../types/messages.ts';
-import { PeerMessageKind, RouterState } from '../types/messages.ts';
+import { PeerMessageKind } from '../types/messages.ts';
 import { recordKey } from './keys.ts';
+import { copyPeerAddresses, stayingPeers } from './recordPeers.ts';
 import { addRecordWaiter, removeRecordWaiter } from './records.ts';
 
-/** Peers that will stay: a draining router takes the copies that it holds with it when it exits. */
-function stayingPeers(context: CoreContext): PeerInfo[] {
-  return liveRegionPeers(context).filter((peer) => peer.state !== RouterState.Draining);
-}
-
-/** Peers that hold copies: other availability zones first, because a zone fails as a whole. */
-export function copyPeerAddresses(context: CoreContext): string[] {
-  const { identity } = context.board;
-  const peers = stayingPeers(context);
-  const elsewhere = peers.filter((peer) => peer.sender.availabilityZone !== identity.availabilityZone);
-  const here = peers.filter((peer) => peer.sender.availabilityZone === identity.availabilityZone);
-  return [...elsewhere, ...here].slice(0, context.options.copyCount).map((peer) => peer.sender.peerAddress);
-}
-
 /** Sends a record to its copy holders; false if no peer is known. */
 export function sendCopies(context: CoreContext, record: UsageRecord): boolean {
-  const addresses = copyPeerAddresses(context);
+  const addresses = copyPeerAddresses(context, record.organisationId);
   for (const peerAddress of addresses) {
     context.emit({
       kind: EffectKind.PeerSend,
--- a/packages/core/src/money/records.ts
+++ b/packages/core/src/money/records.ts
@@ -5,6 +5,7 @@
 import { EffectKind } from '../types/effects.ts';
 import { liveRegionPeers } from '../membership/livePeers.ts';
 import { recordKey } from './keys.ts';
+import { copyPeerAddresses } from './recordPeers.ts';
 import { shareOf, wakeWaiters } from './shares.ts';
 
 /** Stores a new state of an own record; older acknowledgements no longer count for it. */
@@ -32,16 +33,38 @@
 
 /** Forgets settled or released records, own ones and copies, and lets peers drop their copies. */
 export function resolveRecords(context: CoreContext, keys: readonly string[]): void {
+  const keysByPeer = new Map<string, string[]>();
   for (const key of keys) {
+    for (const peerAddress of holderAddresses(context, key)) {
+      keysByPeer.set(peerAddress, [...(keysByPeer.get(peerAddress) ?? []), key]);
+    }
     dropOwnRecord(context, key);
     dropCopy(context, key);
     wakeRecordWaiters(context, key);
   }
-  if (keys.length > 0) {
-    announceResolved(context, keys);
+  for (const [peerAddress, requestIds] of keysByPeer) {
+    const message = { kind: PeerMessageKind.RecordResolved, requestIds } as const;
+    context.emit({ kind: EffectKind.PeerSend, peerAddress, message });
   }
 }
 
+/**
+ * Peers that may hold a copy. The holders of an own record are known; a holder that is missed asks its owner later.
+ * Who else holds a copy of a dead owner's record is not known, so all peers are told.
+ */
+function holderAddresses(context: CoreContext, key: string): string[] {
+  const { ownRecords, acknowledgedBy } = context.board.money;
+  const record = ownRecords.get(key);
+  const peers = liveRegionPeers(context);
+  if (record === undefined) {
+    return peers.map((peer) => peer.sender.peerAddress);
+  }
+  const acknowledged = acknowledgedBy.get(key);
+  const holders = peers.filter((peer) => acknowledged?.has(peer.sender.incarnationId) === true);
+  const chosen = copyPeerAddresses(context, record.organisationId);
+  return [...new Set([...chosen, ...holders.map((peer) => peer.sender.peerAddress)])];
+}
+
 export function dropCopy(context: CoreContext, key: string): void {
   const { money } = context.board;
   money.copies.delete(key);
@@ -59,16 +82,6 @@
   }
 }
 
-function announceResolved(context: CoreContext, keys: readonly string[]): void {
-  for (const peer of liveRegionPeers(context)) {
-    context.emit({
-      kind: EffectKind.PeerSend,
-      peerAddress: peer.sender.peerAddress,
-      message: { kind: PeerMessageKind.RecordResolved, requestIds: keys },
-    });
-  }
-}
-
 export function wakeRecordWaiters(context: CoreContext, key: string): void {
   for (const channel of context.board.money.recordWaiters.get(key) ?? []) {
     channel.push(undefined);
--- a/packages/core/src/money/reservations.ts
+++ b/packages/core/src/money/reservations.ts
@@ -1,6 +1,5 @@
 import type { CoreContext } from '../context.ts';
 import { withChannel } from '../context.ts';
-import { liveRegionPeers } from '../membership/livePeers.ts';
 import type { PeerInfo } from '../membership/types.ts';
 import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
@@ -11,6 +10,7 @@
 import { logWarn } from '../log.ts';
 import { isSafe, sendCopies, waitUntilSafe } from './copies.ts';
 import { recordKey } from './keys.ts';
+import { lookupPeers } from './recordPeers.ts';
 import { changeCommitted, putOwnRecord, resolveRecords } from './records.ts';
 import { settleableRecords } from './settleableRecords.ts';
 import { shareOf } from './shares.ts';
@@ -129,10 +129,14 @@
   readonly runningAddress: string | undefined;
 }
 
-/** Asks the peers of the region what they know of a request identity. */
-export function* findRecords(context: CoreContext, requestId: string): Task<RecordFindings> {
+/** Asks the peers that hold an organisation's records what they know of a request identity. */
+export function* findRecords(
+  context: CoreContext,
+  organisationId: string,
+  requestId: string,
+): Task<RecordFindings> {
   const deadlineMs = context.clock.monotonicMs + context.options.reservationCopyWaitMs;
-  const queries = liveRegionPeers(context).map((peer) => startQuery(context, peer, requestId));
+  const queries = lookupPeers(context, organisationId).map((peer) => startQuery(context, peer, requestId));
   const records = new Map<string, UsageRecord>();
   let runningAddress: string | undefined;
   for (const { peer, queryId, channel } of queries) {
--- a/packages/core/src/requests/running.ts
+++ b/packages/core/src/requests/running.ts
@@ -89,7 +89,8 @@
   if (!run.hasIdempotencyKey) {
     return { upstreamAddress: undefined, runningAddress: undefined };
   }
-  const findings = yield* context.board.requests.money.findRecords(context, run.scopedId);
+  const { money } = context.board.requests;
+  const findings = yield* money.findRecords(context, run.organisationId, run.scopedId);
   const records = findings.records.filter((record) => record.organisationId === run.organisationId);
   for (const record of records) {
     const state = record.state === RecordState.Used ? AttemptState.Ran : AttemptState.Sent;
