Judge an exit only by requests that had reached the router

A real router refuses such a request while its adapters close, and the caller tries elsewhere. Change: the check of graceful stop counts exchanges whose request was delivered to the process. It still counts every one of those.

--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -65,6 +65,8 @@
   cutUntilMs = 0;
   storeDownUntilMs = 0;
   storeSlowUntilMs = 0;
+  /** Exchanges whose request has reached its router; the others are still on their way. */
+  private readonly arrivedExchanges = new Set<string>();
   private readonly tamper: Tamper;
   private members: VmRow[] = [];
   private exchangeCount = 0;
@@ -165,7 +167,9 @@
 
   /** Ends a process that gave the Exit effect. */
   exit(host: Host): void {
-    const openCount = [...this.listeners.keys()].filter((id) => id.startsWith(`${host.index}/`)).length;
+    const openCount = [...this.listeners.keys()].filter(
+      (id) => id.startsWith(`${host.index}/`) && this.arrivedExchanges.has(id),
+    ).length;
     if (openCount > 0) {
       this.fail(PromiseName.GracefulStop, `router ${host.index} exited with ${openCount} open exchanges`);
     }
@@ -209,6 +213,9 @@
   }
 
   private receive(host: Host, event: CoreEvent): void {
+    if (event.kind === EventKind.CallerArrived || event.kind === EventKind.AdminArrived) {
+      this.arrivedExchanges.add(event.exchangeId);
+    }
     if (this.nowMs < host.frozenUntilMs) {
       host.pendingEvents.push(event);
       return;
