Bound a share by its router's part of the organisation's demand

The far region's horizon of an hour let its routers draw whole budgets, and nothing above the demand of that hour flowed back while the network was whole.

Each router now estimates its part of an organisation's demand from what it and all routers settled recently, and holds at most that part of 0.9 of the money left. If the cap is below four worst cases, nothing is kept in advance.

--- a/packages/core/src/money/__tests__/chooseDraw.test.ts
+++ b/packages/core/src/money/__tests__/chooseDraw.test.ts
@@ -51,3 +51,10 @@
   assert.equal(chooseDraw({ ...input, freeMicros: 800_000 }), 200_000);
   assert.equal(chooseDraw({ ...input, freeMicros: 100_000 }), 12_500);
 });
+
+// Guards against a router that keeps money for itself while the same demand elsewhere finds the budget empty.
+test('the cap bounds the target, and a cap below a few worst cases keeps nothing in advance', () => {
+  const input = { demandMicrosPerSecond: 100, horizonMs: 3_600_000, worstCaseMicros: 10 };
+  assert.equal(targetMicros({ ...input, capMicros: 5_000 }), 5_000);
+  assert.equal(targetMicros({ ...input, capMicros: 39 }), 0);
+});
--- a/packages/core/src/money/chooseDraw.ts
+++ b/packages/core/src/money/chooseDraw.ts
@@ -12,6 +12,8 @@
   readonly freeMicros: number;
   /** Largest part of the remainder that one draw takes while the budget is far from exhausted. */
   readonly drawFraction: number;
+  /** Most that the share should hold; without a bound if missing. */
+  readonly capMicros?: number;
 }
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -20,12 +22,21 @@
 /** A draw costs a store transaction, so the share of a hardly used organisation covers a few requests. */
 const MIN_TARGET_WORST_CASES = 4;
 
-/** What the share should hold: the demand of the horizon, and at least a few worst cases. */
+/**
+ * What the share should hold: the demand of the horizon, and at least a few worst cases, within the cap. A cap
+ * below those few worst cases means that the money is nearly spent: then nothing is kept in advance, because a
+ * part that covers no request here could cover one elsewhere.
+ */
 export function targetMicros(
-  input: Pick<DrawInput, 'demandMicrosPerSecond' | 'horizonMs' | 'worstCaseMicros'>,
+  input: Pick<DrawInput, 'demandMicrosPerSecond' | 'horizonMs' | 'worstCaseMicros' | 'capMicros'>,
 ): number {
+  const { capMicros = Infinity } = input;
   const demandMicros = (input.demandMicrosPerSecond * input.horizonMs) / MILLISECONDS_PER_SECOND;
-  return Math.ceil(Math.max(demandMicros, MIN_TARGET_WORST_CASES * input.worstCaseMicros));
+  const leastMicros = MIN_TARGET_WORST_CASES * input.worstCaseMicros;
+  if (capMicros < leastMicros) {
+    return 0;
+  }
+  return Math.ceil(Math.min(capMicros, Math.max(demandMicros, leastMicros)));
 }
 
 /** Decides the amount of a draw; 0 means no draw. */
--- a/packages/core/src/money/shares.ts
+++ b/packages/core/src/money/shares.ts
@@ -1,5 +1,6 @@
 import type { CoreContext } from '../context.ts';
 import { targetMicros } from './chooseDraw.ts';
+import { demandPortion } from './demandPortion.ts';
 import type { ShareRow } from './rows.ts';
 import { outstandingMicros } from './rows.ts';
 import type { OrganisationLedger, Share } from './types.ts';
@@ -46,6 +47,14 @@
     reachable: false,
     freeMicros: 0,
     heldMicros: 0,
+    leftMicros: Infinity,
+    portion: {
+      ownMicros: 0,
+      totalMicros: 0,
+      lastOwnMicros: 0,
+      lastTotalMicros: undefined,
+      atMs: context.clock.monotonicMs,
+    },
     appliedTopUpIds: new Set(),
     lastSettleAtMs: context.clock.monotonicMs,
     retryAtMs: 0,
@@ -81,8 +90,19 @@
     : context.options.farHorizonMs;
 }
 
+/** Part of the money left that is split by demand; the rest stays in the budget for whoever runs short. */
+const SPLIT_FRACTION = 0.9;
+
+/** Most that the share should hold: this router's part of the organisation's demand, of the money left. */
+export function shareCapMicros(context: CoreContext, share: Share): number {
+  const ledger = ledgerOf(context, share.organisationId);
+  const portion = demandPortion(ledger, share.worstCaseMicros);
+  return SPLIT_FRACTION * portion * ledger.leftMicros;
+}
+
 export function shareTargetMicros(context: CoreContext, share: Share): number {
-  return targetMicros({ ...share, horizonMs: horizonMs(context) });
+  const capMicros = shareCapMicros(context, share);
+  return targetMicros({ ...share, capMicros, horizonMs: horizonMs(context) });
 }
 
 /** Updates the demand estimate (an exponentially weighted moving average) and the time of idle excess. */
--- a/packages/core/src/money/syncOrganisation.ts
+++ b/packages/core/src/money/syncOrganisation.ts
@@ -7,6 +7,7 @@
 import type { TableRow } from '../types/table.ts';
 import { TableOutcomeKind } from '../types/table.ts';
 import { billKey, budgetKey, recordKey, routerKey, shareKey } from './keys.ts';
+import { updatePortion } from './demandPortion.ts';
 import { LedgerPage } from './ledgerPage.ts';
 import { planShare, planTopUps } from './planShare.ts';
 import { resolveRecords } from './records.ts';
@@ -107,10 +108,16 @@
   const ledger = ledgerOf(context, page.organisationId);
   ledger.freeMicros = page.freeMicros;
   ledger.heldMicros = page.budget.heldMicros;
+  ledger.leftMicros = page.freeMicros + page.budget.allocatedMicros;
   for (const topUpId of page.budget.topUpIds) {
     ledger.appliedTopUpIds.add(topUpId);
   }
   const row = page.share(context.board.incarnationId);
+  updatePortion(ledger, {
+    ownSettledMicros: row?.settledMicros ?? 0,
+    totalSettledMicros: page.budget.settledMicros,
+    nowMs: context.clock.monotonicMs,
+  });
   if (row !== undefined) {
     adoptShareRow(context, page.organisationId, row);
   }
--- a/packages/core/src/money/types.ts
+++ b/packages/core/src/money/types.ts
@@ -40,6 +40,16 @@
   readonly ownerPeerAddress: string;
 }
 
+/** Sums of recent settlements, for this router's part of an organisation's demand. */
+export interface PortionEstimate {
+  ownMicros: number;
+  totalMicros: number;
+  lastOwnMicros: number;
+  /** undefined until the rows were read once. */
+  lastTotalMicros: number | undefined;
+  atMs: number;
+}
+
 /** What the last synchronisation with the table found for an organisation. */
 export interface OrganisationLedger {
   /** A synchronisation runs; the rows of one organisation are written by one task of a router at a time. */
@@ -49,6 +59,9 @@
   /** Unallocated remainder as last read. */
   freeMicros: number;
   heldMicros: number;
+  /** Funded and not settled or held: the remainder and all shares; Infinity before the first read. */
+  leftMicros: number;
+  readonly portion: PortionEstimate;
   /** Top-ups known to be applied. */
   readonly appliedTopUpIds: Set<string>;
   lastSettleAtMs: number;
