Test the checkers of the fault matrix with planted faults

The checkers had no test, so a matrix without violations did not show that they can find one.

Checkers made stronger, because planted faults passed them: - Overspend compares with the stored top-ups instead of the budget row, which the routers write themselves (a top-up applied twice was not seen). - A "did not run" is checked for its own exchange against the work that was opened for it, also when another try of the call succeeded. - Revisions are followed after every step instead of after commits. - A leaving engine is checked in runs with freezes too; only starts within 3 s of the sender's waking are left out, not whole runs. - A request taken before a stop must not be refused because of the stop. - Late peer messages come 2 s late, so that they outlive the next change of the configuration.

--- a/packages/core/src/configuration/activateConfiguration.ts
+++ b/packages/core/src/configuration/activateConfiguration.ts
@@ -2,6 +2,7 @@
 import { logError, logInfo } from '../log.ts';
 import type { ConfigurationDocument, StoredConfiguration } from '../types/configuration.ts';
 import { ServiceKind } from '../types/configuration.ts';
+import { startSurvey } from '../routing/startSurvey.ts';
 import type { ActiveConfiguration } from './types.ts';
 
 /** The highest revision that needs no further fetch: in force, or seen and not parsable. */
@@ -19,6 +20,9 @@
     rejectConfiguration(context, stored.revision, parsed.error);
     return;
   }
+  if (context.board.configuration === undefined) {
+    startSurvey(context);
+  }
   context.board.configuration = createActiveConfiguration(stored, parsed.value);
   logInfo(context, 'A configuration revision is in force.', { revision: stored.revision });
 }
--- a/packages/core/src/requests/engineWork.ts
+++ b/packages/core/src/requests/engineWork.ts
@@ -91,8 +91,11 @@
   const engines = (board.configuration?.document.engines ?? []).filter(({ models }) =>
     models.includes(model),
   );
+  const surveying = clock.monotonicMs < board.routing.surveyUntilMs;
   const choice = chooseEngine({
-    candidates: engines.map((engine) => ({ engine, info: upstreamInfo(context, engine.address) })),
+    candidates: engines
+      .map((engine) => ({ engine, info: upstreamInfo(context, engine.address) }))
+      .filter(({ info }) => !surveying || info.load !== undefined),
     region: board.identity.region,
     availabilityZone: board.identity.availabilityZone,
     prefixHashes: state.prefixes,
@@ -105,7 +108,8 @@
     case EngineChoiceKind.AllBusy:
       return undefined;
     case EngineChoiceKind.NoneUsable:
-      return { address: undefined };
+      // An engine that has not reported yet may become usable before the survey is over.
+      return surveying ? undefined : { address: undefined };
     case EngineChoiceKind.Chosen: {
       const { info } = choice.candidate;
       info.ownInFlightCount += 1;
--- a/packages/core/src/routing/createRoutingState.ts
+++ b/packages/core/src/routing/createRoutingState.ts
@@ -1,5 +1,6 @@
+import { Channel } from '../scheduler/channel.ts';
 import type { RoutingState } from './types.ts';
 
 export function createRoutingState(): RoutingState {
-  return { upstreams: new Map() };
+  return { upstreams: new Map(), surveyUntilMs: 0, surveyRequests: new Channel() };
 }
--- a/packages/core/src/routing/probeController.ts
+++ b/packages/core/src/routing/probeController.ts
@@ -4,7 +4,7 @@
 import { wakeQueue } from '../requests/classQueue.ts';
 import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
-import { receive, sleepUntil } from '../scheduler/task.ts';
+import { receive } from '../scheduler/task.ts';
 import { EffectKind } from '../types/effects.ts';
 import type { EventKind } from '../types/events.ts';
 import type { EngineLoad } from '../types/requests.ts';
@@ -35,7 +35,10 @@
         context.spawn('probeEngine', probeEngine(context, engine.address));
       }
     }
-    yield* sleepUntil(context.clock.monotonicMs + context.options.probeIntervalMs);
+    // Requests that wait for a first report go on when the survey is over.
+    wakeQueue(context);
+    const { surveyRequests } = context.board.routing;
+    yield* receive(surveyRequests, context.clock.monotonicMs + context.options.probeIntervalMs);
   }
 }
 
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -1,3 +1,4 @@
+import type { Channel } from '../scheduler/channel.ts';
 import type { EngineLoad } from '../types/requests.ts';
 import type { PrefixMemory } from './prefixMemory.ts';
 
@@ -18,6 +19,13 @@
 }
 
 export interface RoutingState {
+  /**
+   * Until then an engine that has not reported its load gets no work: a router that has just started does not know
+   * yet which engines are leaving.
+   */
+  surveyUntilMs: number;
+  /** Wakes the probe controller before its interval is over. */
+  readonly surveyRequests: Channel<undefined>;
   /** By address. */
   readonly upstreams: Map<string, UpstreamInfo>;
 }
--- a/packages/faults/src/caller.ts
+++ b/packages/faults/src/caller.ts
@@ -1,4 +1,4 @@
-import type { CallerRequest, Effect, Verdict } from '@pimentostall/core';
+import type { CallerRequest, Effect, RefusalReason, Verdict } from '@pimentostall/core';
 import { CallerRequestKind, EffectKind, EventKind } from '@pimentostall/core';
 import { KEY_SHA256, MAX_OUTPUT_TOKENS, MODEL } from './fleet.ts';
 import type { Host } from './host.ts';
@@ -25,9 +25,12 @@
 
 /** One exchange of a request with a router, as the caller saw it. */
 export interface Exchange {
+  readonly exchangeId: string;
+  readonly hostIndex: number;
   readonly startedAtMs: number;
   endedAtMs: number | undefined;
   verdict: Verdict | undefined;
+  reason: RefusalReason | undefined;
   broken: boolean;
 }
 
@@ -71,19 +74,13 @@
   if (host === undefined || call.state !== CallState.Open) {
     return;
   }
-  const exchange: Exchange = {
-    startedAtMs: world.nowMs,
-    endedAtMs: undefined,
-    verdict: undefined,
-    broken: false,
-  };
-  const connection = new Connection(world, call, exchange, hostIndex);
+  const connection = new Connection(world, call, hostIndex);
   const exchangeId = world.openExchange(host, connection);
   if (exchangeId === undefined) {
     retryElsewhere(world, call, hostIndex);
     return;
   }
-  call.exchanges.push(exchange);
+  connection.open(exchangeId);
   arrive(world, host, call, exchangeId, redirected);
   world.after(ANSWER_TIMEOUT_MS, () => {
     connection.giveUp(host, exchangeId);
@@ -139,14 +136,27 @@
   private status = 0;
   private location: string | undefined;
   private ended = false;
+  private exchange: Exchange | undefined;
 
   constructor(
     private readonly world: World,
     private readonly call: Call,
-    private readonly exchange: Exchange,
     private readonly hostIndex: number,
   ) {}
 
+  open(exchangeId: string): void {
+    this.exchange = {
+      exchangeId,
+      hostIndex: this.hostIndex % this.world.hosts.length,
+      startedAtMs: this.world.nowMs,
+      endedAtMs: undefined,
+      verdict: undefined,
+      reason: undefined,
+      broken: false,
+    };
+    this.call.exchanges.push(this.exchange);
+  }
+
   onEffect(effect: Effect): void {
     switch (effect.kind) {
       case EffectKind.CallerStart:
@@ -163,7 +173,7 @@
         return;
       case EffectKind.CallerProblem:
         this.end();
-        this.exchange.verdict = effect.problem.verdict;
+        this.refuse(effect.problem.verdict, effect.problem.reason);
         this.call.lastVerdict = effect.problem.verdict;
         retryElsewhere(this.world, this.call, this.hostIndex);
         return;
@@ -177,7 +187,9 @@
       return;
     }
     this.end();
-    this.exchange.broken = true;
+    if (this.exchange !== undefined) {
+      this.exchange.broken = true;
+    }
     this.call.lastVerdict = undefined;
     retryElsewhere(this.world, this.call, this.hostIndex);
   }
@@ -193,7 +205,16 @@
 
   private end(): void {
     this.ended = true;
-    this.exchange.endedAtMs = this.world.nowMs;
+    if (this.exchange !== undefined) {
+      this.exchange.endedAtMs = this.world.nowMs;
+    }
+  }
+
+  private refuse(verdict: Verdict, reason: RefusalReason): void {
+    if (this.exchange !== undefined) {
+      this.exchange.verdict = verdict;
+      this.exchange.reason = reason;
+    }
   }
 
   private onAnswer(): void {
--- a/packages/faults/src/checks/checkAnswers.ts
+++ b/packages/faults/src/checks/checkAnswers.ts
@@ -47,8 +47,17 @@
   }
 }
 
-/** A call that only ever heard "did not run" has left no trace on any upstream. */
+/**
+ * An exchange that heard "did not run" started no work on any upstream, and a call that only ever heard it has left
+ * no trace there.
+ */
 export function checkVerdicts(world: World, calls: readonly Call[]): void {
+  const startedFor = new Set(world.starts.map(({ exchangeId }) => exchangeId));
+  for (const { exchangeId, verdict } of calls.flatMap(({ exchanges }) => exchanges)) {
+    if (verdict === Verdict.DidNotRun && startedFor.has(exchangeId)) {
+      world.fail(PromiseName.TruthfulVerdict, `exchange ${exchangeId} ran although it was told otherwise`);
+    }
+  }
   for (const call of calls) {
     const sameKey = calls.filter((other) => scopedId(other) === scopedId(call));
     const exchanges = sameKey.flatMap((other) => other.exchanges);
--- a/packages/faults/src/checks/checkMoney.ts
+++ b/packages/faults/src/checks/checkMoney.ts
@@ -1,4 +1,5 @@
 import type { TableRow } from '@pimentostall/core';
+import { SectionName } from '@pimentostall/core';
 import type { Call } from '../caller.ts';
 import { CallKind, CallState } from '../caller.ts';
 import {
@@ -45,6 +46,11 @@
 
 function checkBudget(world: World, organisationId: string, budget: Budget): void {
   const { fundedMicros, allocatedMicros, settledMicros, heldMicros } = budget;
+  const paidMicros = paidInMicros(world, organisationId);
+  if (fundedMicros > paidMicros) {
+    const detail = `${organisationId} is funded with ${fundedMicros}, paid in are ${paidMicros}`;
+    world.fail(PromiseName.NoOverspend, detail);
+  }
   if (settledMicros + allocatedMicros + heldMicros > fundedMicros) {
     world.fail(
       PromiseName.NoOverspend,
@@ -59,6 +65,20 @@
   }
 }
 
+interface PaidBudget {
+  readonly organisationId: string;
+  readonly topUps: readonly { readonly amountMicros: number }[];
+}
+
+/** The sum of the stored top-ups: independent of the budget row, which the routers themselves write. */
+function paidInMicros(world: World, organisationId: string): number {
+  const [row] = world.table.read([`config/section/${SectionName.Budgets}`]);
+  const { text } = row?.value as unknown as { readonly text: string };
+  const budgets = JSON.parse(text) as readonly PaidBudget[];
+  const topUps = budgets.filter((each) => each.organisationId === organisationId).flatMap((b) => b.topUps);
+  return topUps.reduce((sum, { amountMicros }) => sum + amountMicros, 0);
+}
+
 function outstandingMicros(row: TableRow): number {
   const share = row.value as unknown as ShareAmounts;
   return share.grantedMicros - share.settledMicros - share.returnedMicros;
@@ -67,8 +87,7 @@
 /** What upstreams really did for an organisation, priced once per request identity, never exceeds its funding. */
 export function checkRealSpend(world: World): void {
   for (const organisationId of ORGANISATIONS) {
-    const [row] = world.table.read([`budget/${organisationId}`]);
-    const fundedMicros = (row?.value as unknown as Budget | undefined)?.fundedMicros ?? 0;
+    const fundedMicros = paidInMicros(world, organisationId);
     const spentMicros = realSpendMicros(world, organisationId);
     if (spentMicros > fundedMicros) {
       world.fail(
--- a/packages/faults/src/checks/checkOperations.ts
+++ b/packages/faults/src/checks/checkOperations.ts
@@ -1,49 +1,60 @@
-import { SectionName } from '@pimentostall/core';
+import { RefusalReason, SectionName } from '@pimentostall/core';
 import { LEAVING_ENGINE_ADDRESS } from '../fleet.ts';
+import type { Host } from '../host.ts';
 import type { Scenario } from '../scenario.ts';
-import type { FaultKind } from '../types.ts';
-import { FaultKind as Kind, PromiseName } from '../types.ts';
+import { PromiseName } from '../types.ts';
 import type { World } from '../world.ts';
 
 /** "A few seconds" of the promise on leaving upstreams. */
 const LEAVING_LIMIT_MS = 3_000;
 
-/** Faults after which a router may send to a leaving engine because it was frozen or cannot reach it to learn. */
-const BLINDING_FAULTS: readonly FaultKind[] = [Kind.Freeze, Kind.FreezeInWindow];
-
-/** An engine that leaves gets no new stream after a few seconds. */
+/**
+ * An engine that leaves gets no new stream after a few seconds. A router that was frozen has the same time from its
+ * waking to learn of it.
+ */
 export function checkLeavingEngine(world: World): void {
-  const engine = world.engines.get(LEAVING_ENGINE_ADDRESS);
-  const leavingSinceMs = engine?.leavingSinceMs;
-  const blinded = world.plan.struck.some((kind) => BLINDING_FAULTS.includes(kind));
-  if (engine === undefined || leavingSinceMs === undefined || blinded) {
-    return;
-  }
-  const late = engine.startTimesMs.filter((startMs) => startMs > leavingSinceMs + LEAVING_LIMIT_MS);
+  const leavingSinceMs = world.engines.get(LEAVING_ENGINE_ADDRESS)?.leavingSinceMs ?? Infinity;
+  const late = world.starts.filter(
+    (start) =>
+      start.address === LEAVING_ENGINE_ADDRESS &&
+      start.atMs > leavingSinceMs + LEAVING_LIMIT_MS &&
+      start.sinceThawMs > LEAVING_LIMIT_MS,
+  );
   if (late.length > 0) {
+    const times = late.map(({ atMs }) => atMs).join(', ');
     world.fail(
       PromiseName.LeavingUpstream,
-      `new streams ${late.join(', ')} ms after leave at ${leavingSinceMs} ms`,
+      `new streams at ${times} ms, after the leave at ${leavingSinceMs} ms`,
+    );
+  }
+}
+
+/** A request that a router took before it was asked to stop is not refused because of the stop. */
+export function checkDrain(world: World, scenario: Scenario): void {
+  const cutOff = scenario.calls
+    .flatMap(({ exchanges }) => exchanges)
+    .filter(({ hostIndex }) => hostIndex === scenario.stoppedHost)
+    .filter(({ startedAtMs }) => startedAtMs < scenario.stoppedAtMs)
+    .filter(({ reason }) => reason === RefusalReason.Draining);
+  for (const { exchangeId } of cutOff) {
+    world.fail(
+      PromiseName.GracefulStop,
+      `exchange ${exchangeId} was in progress and was refused by the drain`,
     );
   }
 }
 
-/** Follows the revision of each process; it may only grow. */
-export function watchRevisions(world: World): () => void {
+/** Follows the revision of each process after each of its steps; it may only grow. */
+export function watchRevisions(world: World): (host: Host) => void {
   const seen = new Map<string, number>();
-  return () => {
-    for (const host of world.hosts) {
-      const revision = host.core?.board.configuration?.revision;
-      const process = `${host.index}/${host.generation}`;
-      const previous = seen.get(process) ?? 0;
-      if (host.core !== undefined && (revision ?? 0) < previous) {
-        world.fail(
-          PromiseName.Configuration,
-          `router ${process} went from ${previous} to ${String(revision)}`,
-        );
-      }
-      seen.set(process, Math.max(previous, revision ?? 0));
+  return (host) => {
+    const revision = host.core?.board.configuration?.revision ?? 0;
+    const process = `${host.index}/${host.generation}`;
+    const previous = seen.get(process) ?? 0;
+    if (revision < previous) {
+      world.fail(PromiseName.Configuration, `router ${process} went from ${previous} to ${revision}`);
     }
+    seen.set(process, Math.max(previous, revision));
   };
 }
 
--- a/packages/faults/src/executeEffect.ts
+++ b/packages/faults/src/executeEffect.ts
@@ -4,7 +4,12 @@
 import { tokenText } from './fakes/fakeEngine.ts';
 import { FAR_REGION, NEAR_REGION } from './fleet.ts';
 import type { Host } from './host.ts';
-import { MATRIX_CORE_OPTIONS, REORDER_DELAY_MS, STORE_SLOW_DELAY_MS } from './options.ts';
+import {
+  MATRIX_CORE_OPTIONS,
+  PEER_REORDER_DELAY_MS,
+  REORDER_DELAY_MS,
+  STORE_SLOW_DELAY_MS,
+} from './options.ts';
 import { DEFAULT_CORE_OPTIONS } from '@pimentostall/core';
 import type { Fault } from './types.ts';
 import { FaultKind } from './types.ts';
@@ -150,9 +155,9 @@
   };
   const event: CoreEvent = { kind: EventKind.PeerReceived, sender, message: effect.message };
   const latencyMs = world.latencyMs(region, target.identity.region);
-  world.deliver(target, event, latencyMs + (fault?.kind === FaultKind.Reorder ? REORDER_DELAY_MS : 0));
+  world.deliver(target, event, latencyMs + (fault?.kind === FaultKind.Reorder ? PEER_REORDER_DELAY_MS : 0));
   if (fault?.kind === FaultKind.Duplicate) {
-    world.deliver(target, event, latencyMs + REORDER_DELAY_MS);
+    world.deliver(target, event, latencyMs + PEER_REORDER_DELAY_MS);
   }
 }
 
@@ -163,7 +168,7 @@
   fault: Fault | undefined,
   options: ExecuteOptions,
 ): void {
-  const { attemptId, address, request } = effect;
+  const { attemptId, address, request, exchangeId } = effect;
   const paused = world.nowMs - host.steppedAtMs > pauseLimitMs;
   const upstreamRegion = address.startsWith('127.2.') ? FAR_REGION : NEAR_REGION;
   const cut = world.isCut(host.identity.region, upstreamRegion);
@@ -176,7 +181,7 @@
   const { generation } = host;
   world.openAttempts.add(attemptId);
   world.after(latencyMs, () => {
-    serve(world, host, { attemptId, address, request, generation, latencyMs, fault });
+    serve(world, host, { attemptId, address, request, exchangeId, generation, latencyMs, fault });
   });
 }
 
@@ -184,6 +189,7 @@
   readonly attemptId: string;
   readonly address: string;
   readonly request: UpstreamRequest;
+  readonly exchangeId: string | undefined;
   readonly generation: number;
   readonly latencyMs: number;
   readonly fault: Fault | undefined;
@@ -193,6 +199,7 @@
   const { request } = exchange;
   switch (request.kind) {
     case UpstreamRequestKind.ServiceCall: {
+      noteStart(world, host, exchange);
       const body = world.service.run(request.requestId);
       reply(world, host, exchange, SERVICE_TIME_MS, body);
       return;
@@ -201,6 +208,9 @@
       const engine = world.engines.get(exchange.address);
       const promptTokens = request.messages.reduce((sum, { content }) => sum + content.length, 0) >> 2;
       const stream = engine?.start(request.requestId, promptTokens, request.maxOutputTokens, world.nowMs);
+      if (stream !== undefined) {
+        noteStart(world, host, exchange);
+      }
       relay(world, host, exchange, engine, stream, 0, 409);
       return;
     }
@@ -212,6 +222,13 @@
   }
 }
 
+function noteStart(world: World, host: Host, exchange: UpstreamExchange): void {
+  const { address, request, exchangeId } = exchange;
+  const atMs = world.nowMs;
+  const sinceThawMs = atMs - host.thawedAtMs;
+  world.starts.push({ address, requestId: request.requestId, exchangeId, atMs, sinceThawMs });
+}
+
 function reply(world: World, host: Host, exchange: UpstreamExchange, delayMs: number, body: string): void {
   const { attemptId, fault, latencyMs } = exchange;
   if (fault?.kind === FaultKind.ReplyLost) {
--- a/packages/faults/src/fakes/fakeEngine.ts
+++ b/packages/faults/src/fakes/fakeEngine.ts
@@ -29,7 +29,6 @@
 /** An engine as the core's effects see it: streams by request identity that go on without a reader. */
 export class FakeEngine {
   readonly streams = new Map<string, FakeStream>();
-  readonly startTimesMs: number[] = [];
   leavingSinceMs: number | undefined;
 
   constructor(readonly address: string) {}
@@ -52,7 +51,6 @@
       cancelledAtMs: undefined,
     };
     this.streams.set(requestId, stream);
-    this.startTimesMs.push(nowMs);
     return stream;
   }
 
--- a/packages/faults/src/host.ts
+++ b/packages/faults/src/host.ts
@@ -10,6 +10,8 @@
   /** Grows with each new process, so that deliveries to a dead one are dropped. */
   generation: number;
   frozenUntilMs: number;
+  /** When the last freeze ended. */
+  thawedAtMs: number;
   /** Time of the step whose effects are being executed. */
   steppedAtMs: number;
   /** Effects that a freeze interrupted. */
@@ -27,6 +29,7 @@
     core: undefined,
     generation: 0,
     frozenUntilMs: 0,
+    thawedAtMs: -Infinity,
     steppedAtMs: 0,
     suspendedEffects: [],
     pendingEvents: [],
--- a/packages/faults/src/options.ts
+++ b/packages/faults/src/options.ts
@@ -24,6 +24,8 @@
 export const STORE_SLOW_MS = 15_000;
 export const STORE_SLOW_DELAY_MS = 1_500;
 export const REORDER_DELAY_MS = 400;
+/** A late peer message outlives the next configuration change, so that it arrives with a lower revision. */
+export const PEER_REORDER_DELAY_MS = 2_000;
 export const MEMBER_LAG_MS = 3_000;
 /** A crashed router's VM is replaced after this time. */
 export const REPLACE_AFTER_MS = 4_000;
--- a/packages/faults/src/runOne.ts
+++ b/packages/faults/src/runOne.ts
@@ -1,13 +1,18 @@
 import { CallState } from './caller.ts';
 import { checkAnswers, checkAtMostOnce, checkVerdicts } from './checks/checkAnswers.ts';
 import { checkBills, checkLedger, checkRealSpend } from './checks/checkMoney.ts';
-import { checkConfiguration, checkLeavingEngine, watchRevisions } from './checks/checkOperations.ts';
+import {
+  checkConfiguration,
+  checkDrain,
+  checkLeavingEngine,
+  watchRevisions,
+} from './checks/checkOperations.ts';
 import { FaultPlan } from './faultPlan.ts';
 import { RUN_END_MS } from './options.ts';
 import { planScenario } from './scenario.ts';
 import type { Fault, RunReport } from './types.ts';
 import { PromiseName } from './types.ts';
-import type { Tamper } from './world.ts';
+import type { Tamper } from './tamper.ts';
 import { World } from './world.ts';
 
 /** Runs one seed with its faults from start to quiet and checks every promise. */
@@ -17,7 +22,7 @@
   world.commitWatchers.push(() => {
     checkLedger(world);
   });
-  world.commitWatchers.push(watchRevisions(world));
+  world.stepWatchers.push(watchRevisions(world));
   const scenario = planScenario(world);
   world.run(RUN_END_MS);
   checkRealSpend(world);
@@ -26,6 +31,7 @@
   checkVerdicts(world, scenario.calls);
   checkAtMostOnce(world);
   checkLeavingEngine(world);
+  checkDrain(world, scenario);
   checkConfiguration(world, scenario);
   for (const defect of world.defects) {
     world.fail(PromiseName.WholeOwnAnswer, `a task of the core failed: ${defect}`);
--- a/packages/faults/src/scenario.ts
+++ b/packages/faults/src/scenario.ts
@@ -28,11 +28,12 @@
   readonly calls: Call[];
   readonly changes: Change[];
   stoppedHost: number | undefined;
+  stoppedAtMs: number;
 }
 
 /** Plans a run's traffic and operations: seeded, so that a run repeats. */
 export function planScenario(world: World): Scenario {
-  const scenario: Scenario = { calls: [], changes: [], stoppedHost: undefined };
+  const scenario: Scenario = { calls: [], changes: [], stoppedHost: undefined, stoppedAtMs: Infinity };
   for (let index = 0; index < CHAT_COUNT; index += 1) {
     const organisationId = world.random() < 0.5 ? SMALL_ORGANISATION : LARGE_ORGANISATION;
     planCall(world, scenario, { key: `chat-${index}`, kind: CallKind.Chat, organisationId, index });
@@ -102,6 +103,7 @@
     const host = world.hosts[stopped];
     if (host?.core !== undefined) {
       scenario.stoppedHost = stopped;
+      scenario.stoppedAtMs = world.nowMs;
       world.deliver(host, { kind: EventKind.StopRequested }, 0);
     }
   });
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -26,6 +26,7 @@
   NEAR_LATENCY_MS,
   REPLACE_AFTER_MS,
 } from './options.ts';
+import type { Tamper } from './tamper.ts';
 import type { Fault, Violation } from './types.ts';
 import { FaultKind, PromiseName } from './types.ts';
 
@@ -39,10 +40,14 @@
   onBroken(): void;
 }
 
-/** Changes effects and events on their way; the tests plant faults with it that the checkers must find. */
-export interface Tamper {
-  readonly effect?: (effect: Effect) => Effect;
-  readonly event?: (event: CoreEvent) => CoreEvent;
+/** An upstream began to work on a request. */
+export interface UpstreamStart {
+  readonly address: string;
+  readonly requestId: string;
+  readonly exchangeId: string | undefined;
+  readonly atMs: number;
+  /** The sending router was frozen shortly before, so it may not have learned of a leaving upstream. */
+  readonly sinceThawMs: number;
 }
 
 export interface WorldSetup {
@@ -71,6 +76,10 @@
   readonly openAttempts = new Set<string>();
   /** Called after every commit that the table applied. */
   readonly commitWatchers: (() => void)[] = [];
+  /** Called after every step of a core. */
+  readonly stepWatchers: ((host: Host) => void)[] = [];
+  /** Work that upstreams began, by the exchange for which it was opened. */
+  readonly starts: UpstreamStart[] = [];
   nowMs = 0;
   cutUntilMs = 0;
   storeDownUntilMs = 0;
@@ -85,6 +94,7 @@
     this.tamper = setup.tamper ?? {};
     this.hosts = routerIdentities().map((identity, index) => createHost(index, identity));
     this.fillTable();
+    this.tamper.setUp?.(this);
     for (const host of this.hosts) {
       this.startHost(host);
     }
@@ -218,10 +228,15 @@
       return;
     }
     const { event, effect } = this.tamper;
-    const seen = event === undefined ? events : events.map(event);
+    const seen = event === undefined ? events : events.map((each) => event(each, host.index));
     const result = host.core.step(seen, this.clock());
     host.steppedAtMs = this.nowMs;
-    this.execute(host, effect === undefined ? result.effects : result.effects.map(effect));
+    for (const watch of this.stepWatchers) {
+      watch(host);
+    }
+    const effects =
+      effect === undefined ? result.effects : result.effects.map((each) => effect(each, host.index));
+    this.execute(host, effects);
     this.scheduleStep(host, result.nextDeadlineMs);
   }
 
@@ -305,6 +320,7 @@
     if (host.core === undefined || this.nowMs < host.frozenUntilMs) {
       return;
     }
+    host.thawedAtMs = this.nowMs;
     const effects = host.suspendedEffects;
     const events = host.pendingEvents;
     host.suspendedEffects = [];
