--- a/packages/core/src/configuration/activateConfiguration.ts
+++ b/packages/core/src/configuration/activateConfiguration.ts
@@ -19,6 +19,9 @@
     rejectConfiguration(context, stored.revision, parsed.error);
     return;
   }
+  if (context.board.configuration === undefined) {
+    context.board.routing.probeRequests.push(undefined);
+  }
   context.board.configuration = createActiveConfiguration(stored, parsed.value);
   logInfo(context, 'A configuration revision is in force.', { revision: stored.revision });
 }
--- a/packages/core/src/routing/probeController.ts
+++ b/packages/core/src/routing/probeController.ts
@@ -4,7 +4,7 @@
 import { wakeQueue } from '../requests/classQueue.ts';
 import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
-import { receive, sleepUntil } from '../scheduler/task.ts';
+import { receive } from '../scheduler/task.ts';
 import { EffectKind } from '../types/effects.ts';
 import type { EventKind } from '../types/events.ts';
 import type { EngineLoad } from '../types/requests.ts';
@@ -35,7 +35,8 @@
         context.spawn('probeEngine', probeEngine(context, engine.address));
       }
     }
-    yield* sleepUntil(context.clock.monotonicMs + context.options.probeIntervalMs);
+    const { probeRequests } = context.board.routing;
+    yield* receive(probeRequests, context.clock.monotonicMs + context.options.probeIntervalMs);
   }
 }
 
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -1,3 +1,4 @@
+import type { Channel } from '../scheduler/channel.ts';
 import type { EngineLoad } from '../types/requests.ts';
 import type { PrefixMemory } from './prefixMemory.ts';
 
@@ -18,6 +19,8 @@
 }
 
 export interface RoutingState {
+  /** Wakes the probe controller before its interval is over: a starting router waits for the first reports. */
+  readonly probeRequests: Channel<undefined>;
   /** By address. */
   readonly upstreams: Map<string, UpstreamInfo>;
 }
--- a/packages/faults/src/fakes/fakeEngine.ts
+++ b/packages/faults/src/fakes/fakeEngine.ts
@@ -49,7 +49,6 @@
 /** An engine as the core's effects see it: streams by request identity that go on without a reader. */
 export class FakeEngine {
   readonly streams = new Map<string, FakeStream>();
-  readonly startTimesMs: number[] = [];
   leavingSinceMs: number | undefined;
 
   /** Orders that the engine took, in the order of their arrival. */
@@ -93,7 +92,6 @@
       cancelledAtMs: undefined,
     };
     this.streams.set(requestId, stream);
-    this.startTimesMs.push(nowMs);
     this.options.onStart?.(stream);
     return stream;
   }
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -13,6 +13,7 @@
 import { FAR_LATENCY_MS, MAX_STEP_GAP_MS, MEMBER_LAG_MS, NEAR_LATENCY_MS } from './options.ts';
 import type { Place } from './place.ts';
 import { MATRIX_PLACE } from './place.ts';
+import type { Tamper } from './tamper.ts';
 import type { Fault, Violation } from './types.ts';
 import { FaultKind, PromiseName } from './types.ts';
 
@@ -26,10 +27,14 @@
   onBroken(): void;
 }
 
-/** Changes effects and events on their way; the tests plant faults with it that the checkers must find. */
-export interface Tamper {
-  readonly effect?: (effect: Effect) => Effect;
-  readonly event?: (event: CoreEvent) => CoreEvent;
+/** An upstream began to work on a request. */
+export interface UpstreamStart {
+  readonly address: string;
+  readonly requestId: string;
+  readonly exchangeId: string | undefined;
+  readonly atMs: number;
+  /** The sending router was frozen shortly before, so it may not have learned of a leaving upstream. */
+  readonly sinceThawMs: number;
 }
 
 export interface WorldSetup {
@@ -61,6 +66,10 @@
   readonly openAttempts = new Set<string>();
   /** Called after every commit that the table applied. */
   readonly commitWatchers: (() => void)[] = [];
+  /** Called after every step of a core. */
+  readonly stepWatchers: ((host: Host) => void)[] = [];
+  /** Work that upstreams began, by the exchange for which it was opened. */
+  readonly starts: UpstreamStart[] = [];
   nowMs = 0;
   cutUntilMs = 0;
   storeDownUntilMs = 0;
@@ -83,6 +92,7 @@
     this.service = new FakeService(serviceAddress);
     this.hosts = this.place.identities.map((identity, index) => createHost(index, identity));
     this.fillTable();
+    this.tamper.setUp?.(this);
     for (const host of this.hosts) {
       this.startHost(host);
     }
@@ -228,10 +238,15 @@
       return;
     }
     const { event, effect } = this.tamper;
-    const seen = event === undefined ? events : events.map(event);
+    const seen = event === undefined ? events : events.map((each) => event(each, host.index));
     const result = host.core.step(seen, this.clock());
     host.steppedAtMs = this.nowMs;
-    this.execute(host, effect === undefined ? result.effects : result.effects.map(effect));
+    for (const watch of this.stepWatchers) {
+      watch(host);
+    }
+    const effects =
+      effect === undefined ? result.effects : result.effects.map((each) => effect(each, host.index));
+    this.execute(host, effects);
     this.scheduleStep(host, result.nextDeadlineMs);
   }
 
@@ -315,6 +330,7 @@
     if (host.core === undefined || this.nowMs < host.frozenUntilMs) {
       return;
     }
+    host.thawedAtMs = this.nowMs;
     const effects = host.suspendedEffects;
     const events = host.pendingEvents;
     host.suspendedEffects = [];
