--- a/packages/bench/src/router/loadGenerators.ts
+++ b/packages/bench/src/router/loadGenerators.ts
@@ -21,6 +21,7 @@
       failed: sum(results.map(({ failed }) => failed)),
       elapsedMs: Math.max(...results.map(({ elapsedMs }) => elapsedMs)),
       firstTokenMs: results.flatMap(({ firstTokenMs }) => firstTokenMs),
+      totalMs: results.flatMap(({ totalMs }) => totalMs),
     };
   }
 
--- a/packages/bench/src/router/loadProcess.ts
+++ b/packages/bench/src/router/loadProcess.ts
@@ -9,6 +9,7 @@
   answered: number;
   failed: number;
   readonly firstTokenMs: number[];
+  readonly totalMs: number[];
 }
 
 async function sendOne(agent: Agent, order: LoadOrder, tally: Tally): Promise<void> {
@@ -33,6 +34,7 @@
     }
     tally.answered += 1;
     tally.firstTokenMs.push(firstMs);
+    tally.totalMs.push(performance.now() - startMs);
   } catch (error) {
     if (tally.failed === 0) {
       process.stderr.write(`first failed request: ${String(error)}\n`);
@@ -67,7 +69,7 @@
 
 async function run(order: LoadOrder): Promise<LoadResult> {
   const agent = new Agent({ pipelining: 1 });
-  const tally: Tally = { answered: 0, failed: 0, firstTokenMs: [] };
+  const tally: Tally = { answered: 0, failed: 0, firstTokenMs: [], totalMs: [] };
   const startMs = performance.now();
   const { load } = order;
   switch (load.kind) {
--- a/packages/bench/src/router/loadTypes.ts
+++ b/packages/bench/src/router/loadTypes.ts
@@ -21,4 +21,6 @@
   readonly elapsedMs: number;
   /** Time to the first token of each answered request. */
   readonly firstTokenMs: readonly number[];
+  /** Time to the last byte of each answered request. */
+  readonly totalMs: readonly number[];
 }
--- a/packages/demo/src/fleet/processGroup.ts
+++ b/packages/demo/src/fleet/processGroup.ts
@@ -51,6 +51,10 @@
     this.#children.get(name)?.kill(signal);
   }
 
+  pidOf(name: string): number | undefined {
+    return this.#children.get(name)?.pid;
+  }
+
   /** The exit code of a process, or the signal that ended it; undefined while it runs. */
   exitOf(name: string): number | NodeJS.Signals | undefined {
     const child = this.#children.get(name);
