Spend less processor time on each relayed token

Cause, from a profile of the router (node:inspector): a tenth of the busy time built and serialised the same JSON envelope for each token, 3% made a JSON key for each measurement, the answer's headers took a write of their own, and a stream whose answer ended after its last chunk lost its connection to the engine, so that each stream opened a new one.

Change: the common part of a chunk is built once for a run; the key of a series joins the label values; headers leave with the first chunk or, without one, in the next turn of the event loop; after the last chunk the rest of the answer is read for at most 1 s. The new test fails on the old reading.

--- a/packages/core/src/requests/chatFormat.ts
+++ b/packages/core/src/requests/chatFormat.ts
@@ -20,11 +20,31 @@
 
 /** One piece of text as a chat completion chunk. The first one states the role. */
 export function formatTextChunk(run: RunningRequest, model: string, text: string, isFirst: boolean): string {
-  const delta = isFirst ? { role: 'assistant', content: text } : { content: text };
-  return sseLine({
-    ...commonFields(run, model, 'chat.completion.chunk'),
-    choices: [{ index: 0, delta, finish_reason: null }],
-  });
+  const head = isFirst ? FIRST_DELTA_HEAD : DELTA_HEAD;
+  return `${chunkHead(run, model)}${head}${JSON.stringify(text)}${DELTA_TAIL}`;
+}
+
+const DELTA_HEAD = ',"choices":[{"index":0,"delta":{"content":';
+const FIRST_DELTA_HEAD = ',"choices":[{"index":0,"delta":{"role":"assistant","content":';
+const DELTA_TAIL = '},"finish_reason":null}]}\n\n';
+
+interface ChunkHead {
+  readonly model: string;
+  readonly text: string;
+}
+
+/** The part that all chunks of a run share is built once: building it for each token took a tenth of the time. */
+const chunkHeads = new WeakMap<RunningRequest, ChunkHead>();
+
+function chunkHead(run: RunningRequest, model: string): string {
+  const known = chunkHeads.get(run);
+  if (known?.model === model) {
+    return known.text;
+  }
+  const json = JSON.stringify(commonFields(run, model, 'chat.completion.chunk'));
+  const text = `data: ${json.slice(0, -1)}`;
+  chunkHeads.set(run, { model, text });
+  return text;
 }
 
 /** The end of a streamed answer: the reason, the usage and the end mark. */
--- a/packages/metrics/src/metricsRegistry.ts
+++ b/packages/metrics/src/metricsRegistry.ts
@@ -13,6 +13,8 @@
 /** Bounds memory if identifiers without end arrive; more organisations and classes share one series. */
 const MAX_SERIES_PER_METRIC = 16_384;
 const OVERFLOW_LABEL = 'other';
+/** Control characters are in no identifier. The series of one metric have the same label names. */
+const LABEL_SEPARATOR = '\u0000';
 
 const HISTOGRAMS = {
   [MetricKind.TimeToFirstToken]: 'pimentostall_time_to_first_token_seconds',
@@ -31,7 +33,7 @@
   labels: Readonly<Record<string, string>>,
   create: () => T,
 ): Series<T> {
-  const key = JSON.stringify(labels);
+  const key = Object.values(labels).join(LABEL_SEPARATOR);
   const known = metric.get(key);
   if (known !== undefined) {
     return known;
--- a/packages/shell/src/callers/callerExchange.ts
+++ b/packages/shell/src/callers/callerExchange.ts
@@ -10,6 +10,7 @@
   private drainWaiters: (() => void)[] = [];
   private stallTimer: NodeJS.Timeout | undefined;
   private isEventStream = false;
+  private hasBody = false;
 
   constructor(
     private readonly response: ServerResponse,
@@ -30,10 +31,16 @@
     const types = Object.entries(headers).filter(([name]) => name.toLowerCase() === 'content-type');
     this.isEventStream = types.some(([, type]) => type.startsWith('text/event-stream'));
     this.response.writeHead(status, headers);
-    this.response.flushHeaders();
+    // The core sends a chunk or the end in the same step; sent apart, the headers would take a write of their own.
+    setImmediate(() => {
+      if (!this.hasBody && !this.response.destroyed) {
+        this.response.flushHeaders();
+      }
+    });
   }
 
   write(data: string): void {
+    this.hasBody = true;
     if (!this.response.write(data)) {
       this.watchStall();
     }
@@ -43,6 +50,7 @@
   }
 
   end(data: string): void {
+    this.hasBody = true;
     this.response.end(data);
     if (this.response.writableNeedDrain) {
       this.watchStall();
@@ -51,6 +59,7 @@
 
   /** Before the start, the problem is the answer; after it, the stream ends with an error event. */
   endWithProblem(problem: Problem): void {
+    this.hasBody = true;
     if (!this.response.headersSent) {
       this.response.writeHead(problem.status, problemHeaders(problem));
       this.response.end(problemBody(problem));
--- a/packages/shell/src/upstreams/__tests__/upstreamAdapter.test.ts
+++ b/packages/shell/src/upstreams/__tests__/upstreamAdapter.test.ts
@@ -175,3 +175,23 @@
   const finish = { reason: 'cancelled', promptTokens: 3, cachedPromptTokens: 0, outputTokens: 1 };
   assert.deepEqual(last?.chunk, { index: 1, text: '', finish });
 });
+
+test('a stream that ends after its last chunk leaves its connection for later ones (a connection per stream)', async (context) => {
+  const ports: (number | undefined)[] = [];
+  let endBody = (): unknown => undefined;
+  const address = await startFake(context, (request, response) => {
+    ports.push(request.socket.remotePort);
+    request.resume();
+    writeChunk(response, 0, FINISH);
+    endBody = () => response.end();
+  });
+  const { sink, open } = createAdapter(context);
+  // A stream may start before the end of the one before was read, so any reuse counts.
+  for (let count = 0; count < 20; count += 1) {
+    open(address, START);
+    await sink.next(EventKind.UpstreamEnded);
+    sink.events.length = 0;
+    endBody();
+  }
+  assert.ok(new Set(ports).size < ports.length);
+});
--- a/packages/shell/src/upstreams/upstreamAttempt.ts
+++ b/packages/shell/src/upstreams/upstreamAttempt.ts
@@ -5,6 +5,7 @@
 import type { ShellOptions } from '../options.ts';
 import type { EventSink } from '../routerLoop.ts';
 import { parseEngineChunk } from './parseEngine.ts';
+import type { SseEvent } from './sseParser.ts';
 import { SseParser } from './sseParser.ts';
 import { toUpstreamCall } from './upstreamCall.ts';
 import { WriteGuard } from './writeGuard.ts';
@@ -21,6 +22,9 @@
   readonly callerWritable: () => Promise<void>;
 }
 
+/** An engine that does not end its answer after the last chunk loses the connection. */
+const END_OF_BODY_WAIT_MS = 1_000;
+
 function messageOf(cause: unknown): string {
   return cause instanceof Error ? cause.message : String(cause);
 }
@@ -32,6 +36,8 @@
   private readonly controller = new AbortController();
   private readonly guard: WriteGuard;
   private silent = false;
+  private ended = false;
+  private endTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly setup: AttemptSetup) {
     this.guard = new WriteGuard(setup.mayWrite);
@@ -43,6 +49,8 @@
     } catch (cause) {
       const bytesSent = this.guard.bytesSent(cause, this.controller.signal);
       this.fail(bytesSent, messageOf(cause));
+    } finally {
+      clearTimeout(this.endTimer);
     }
   }
 
@@ -79,16 +87,39 @@
   private async relayStream(body: AsyncIterable<Buffer>): Promise<void> {
     const parser = new SseParser(this.setup.options.maxStreamEventBytes);
     for await (const part of body) {
-      for (const { event, data } of parser.push(part)) {
-        if (this.takeStreamEvent(event, data)) {
-          this.end(200, '', undefined);
-          return;
-        }
+      if (this.ended) {
+        continue;
+      }
+      if (this.takeStreamEvents(parser.push(part))) {
+        this.awaitEndOfBody();
+        continue;
       }
       await this.setup.sink.stepped();
       await this.untilCallerWritable();
     }
-    throw new Error('The stream ended before its last chunk.');
+    if (!this.ended) {
+      throw new Error('The stream ended before its last chunk.');
+    }
+  }
+
+  /** Returns true if the last chunk was among the events. */
+  private takeStreamEvents(events: readonly SseEvent[]): boolean {
+    for (const { event, data } of events) {
+      if (this.takeStreamEvent(event, data)) {
+        this.end(200, '', undefined);
+        this.ended = true;
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Leaving the body unread would close the connection, and the next stream would have to open another one. */
+  private awaitEndOfBody(): void {
+    this.silent = true;
+    this.endTimer = setTimeout(() => {
+      this.controller.abort();
+    }, END_OF_BODY_WAIT_MS);
   }
 
   /** Returns true for the last chunk. */
