Break ties between engines at random

Engines of equal score were ordered by address, so routers without a load report sent all work to the same two of many idle engines.

--- a/packages/bench/src/routing/engineHost.ts
+++ b/packages/bench/src/routing/engineHost.ts
@@ -1,6 +1,6 @@
 import type { EngineLoad } from '@pimentostall/core';
 import { EngineModel, LoadReporter, SequenceState, SubmitOutcome } from '@pimentostall/standins';
-import { ENGINE_OPTIONS, MAX_OUTPUT_TOKENS, SLOW_FACTOR } from './options.ts';
+import { ENGINE_OPTIONS, SLOW_FACTOR } from './options.ts';
 import type { Scenario } from './types.ts';
 import type { Arrival } from './workload.ts';
 import { MODEL } from './workload.ts';
@@ -28,6 +28,7 @@
 export class EngineHost {
   readonly address: string;
   readonly #model = new EngineModel(ENGINE_OPTIONS);
+  readonly #maxOutputTokens: number;
   readonly #reporter: LoadReporter;
   readonly #streams = new Map<string, OpenStream>();
   #leaving = false;
@@ -35,6 +36,7 @@
 
   constructor(index: number, scenario: Scenario) {
     this.address = `127.1.${index >> 8}.${index & 255}:8400`;
+    this.#maxOutputTokens = scenario.maxOutputTokens;
     const { cacheEventLagMs, cacheEventGap } = scenario;
     this.#reporter = new LoadReporter({ cacheEventLagMs, cacheEventGap });
   }
@@ -56,7 +58,13 @@
       return HostAnswer.Gone;
     }
     const { requestId, messages } = listener.arrival;
-    const request = { requestId, model: MODEL, messages, maxOutputTokens: MAX_OUTPUT_TOKENS, priority: 0 };
+    const request = {
+      requestId,
+      model: MODEL,
+      messages,
+      maxOutputTokens: this.#maxOutputTokens,
+      priority: 0,
+    };
     if (this.#model.submit(request, nowMs) !== SubmitOutcome.Accepted) {
       return HostAnswer.QueueFull;
     }
--- a/packages/bench/src/routing/types.ts
+++ b/packages/bench/src/routing/types.ts
@@ -23,6 +23,8 @@
   readonly engineCount: number;
   readonly requestCount: number;
   readonly sharedPrefixes: boolean;
+  /** Engines generate between half of this and all of it. */
+  readonly maxOutputTokens: number;
   readonly cacheEventLagMs: number;
   /** One of this many cached blocks is never reported. */
   readonly cacheEventGap: number;
--- a/packages/bench/src/routing/workload.ts
+++ b/packages/bench/src/routing/workload.ts
@@ -1,6 +1,6 @@
 import type { ChatMessage, RandomSource } from '@pimentostall/core';
 import { DEFAULT_CORE_OPTIONS, rendezvousOrder } from '@pimentostall/core';
-import { ENGINE_OPTIONS, LOAD_FRACTION, MAX_OUTPUT_TOKENS, OWN_BLOCKS, SHARED_BLOCKS } from './options.ts';
+import { ENGINE_OPTIONS, LOAD_FRACTION, OWN_BLOCKS, SHARED_BLOCKS } from './options.ts';
 import type { Scenario } from './types.ts';
 
 export const MODEL = 'small';
@@ -29,7 +29,7 @@
   const { maxRunning, tokenIntervalMs, tokenIntervalPerSequenceMs, prefillMsPerBlock } = ENGINE_OPTIONS;
   const intervalMs = tokenIntervalMs + (maxRunning - 1) * tokenIntervalPerSequenceMs;
   const prefillMs = (SHARED_BLOCKS + OWN_BLOCKS) * prefillMsPerBlock;
-  const meanTokens = MAX_OUTPUT_TOKENS * 0.75;
+  const meanTokens = scenario.maxOutputTokens * 0.75;
   return (LOAD_FRACTION * scenario.engineCount * maxRunning) / (prefillMs + meanTokens * intervalMs);
 }
 
--- a/packages/core/src/routing/chooseEngine.ts
+++ b/packages/core/src/routing/chooseEngine.ts
@@ -74,6 +74,31 @@
   );
 }
 
+interface ScoredCandidate {
+  readonly candidate: EngineCandidate;
+  readonly scoreMs: number;
+}
+
+/**
+ * Scores the usable candidates with a free slot. They start at a random one, so that equal scores fall to different
+ * engines; ordered by address, all routers without a report would choose the same two of many idle engines.
+ */
+function scoreFree(request: EngineChoiceRequest, usable: readonly EngineCandidate[]): ScoredCandidate[] {
+  const start = Math.floor(request.random * usable.length);
+  return [...usable.slice(start), ...usable.slice(0, start)]
+    .filter(({ engine, info }) => info.ownInFlightCount < engine.maxConcurrent)
+    .map((candidate) => ({ candidate, scoreMs: engineScoreMs(request, candidate) }));
+}
+
+/** The first of the lowest scores, in one pass: sorting hundreds of engines for each request takes a millisecond. */
+function findBest(scored: readonly ScoredCandidate[]): ScoredCandidate | undefined {
+  let best: ScoredCandidate | undefined;
+  for (const entry of scored) {
+    best = best === undefined || entry.scoreMs < best.scoreMs ? entry : best;
+  }
+  return best;
+}
+
 /**
  * Chooses an engine: one of the best two at random, so that routers with the same stale report do not all send
  * their work to the same engine. The two are taken from one distance, because a random pick of a far engine would
@@ -84,17 +109,17 @@
   if (usable.length === 0) {
     return { kind: EngineChoiceKind.NoneUsable };
   }
-  const [best, ...others] = usable
-    .filter(({ engine, info }) => info.ownInFlightCount < engine.maxConcurrent)
-    .map((candidate) => ({ candidate, scoreMs: engineScoreMs(request, candidate) }))
-    .sort(
-      (a, b) => a.scoreMs - b.scoreMs || a.candidate.engine.address.localeCompare(b.candidate.engine.address),
-    );
+  const scored = scoreFree(request, usable);
+  const best = findBest(scored);
   if (best === undefined) {
     return { kind: EngineChoiceKind.AllBusy };
   }
   const bestCostMs = distanceCostMs(request, best.candidate.engine);
-  const second = others.find(({ candidate }) => distanceCostMs(request, candidate.engine) <= bestCostMs);
-  const chosen = second !== undefined && request.random >= 0.5 ? second : best;
+  const second = findBest(
+    scored.filter((entry) => entry !== best && distanceCostMs(request, entry.candidate.engine) <= bestCostMs),
+  );
+  // The part of the random number that the start left over.
+  const coin = (request.random * usable.length) % 1;
+  const chosen = second !== undefined && coin >= 0.5 ? second : best;
   return { kind: EngineChoiceKind.Chosen, candidate: chosen.candidate };
 }
