Count reported load at a tenth of own requests

A report is half a second old or more, and every router follows the same one, so full weight sent all work to the engines that had been idle. Own requests are exact and count fully.

Tried and not kept: a prefill cost of 2.5 instead of 5 ms for an uncached block.

--- a/packages/core/src/routing/chooseEngine.ts
+++ b/packages/core/src/routing/chooseEngine.ts
@@ -34,6 +34,12 @@
 /** A load report counts half after this time, because requests have come and gone since. */
 const LOAD_HALF_LIFE_MS = 2_000;
 
+/**
+ * Reported requests count this much of own ones. At full weight all routers follow the same old report, which made
+ * the choice worse than a random one (bench:routing).
+ */
+const REPORT_WEIGHT = 0.1;
+
 /** Expected wait per request that is ahead: a rough time share of one request in a continuous batch. */
 const WAIT_MS_PER_REQUEST = 20;
 
@@ -48,7 +54,7 @@
     return 0;
   }
   const ageMs = info.load.ageMs + Math.max(0, nowMs - info.loadReadAtMs);
-  const weight = 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
+  const weight = REPORT_WEIGHT * 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
   return (info.load.runningCount + info.load.queuedCount) * weight;
 }
 
