Choose the second best engine only if it is nearly equal

Half of the requests went past a warm engine to the second best. With exact own counts and random ties, routers no longer herd, so the random pick is only needed between nearly equal scores.

--- a/packages/core/src/routing/chooseEngine.ts
+++ b/packages/core/src/routing/chooseEngine.ts
@@ -46,6 +46,9 @@
 /** Expected prefill time of one prefix block that is not cached. */
 const PREFILL_MS_PER_BLOCK = 5;
 
+/** Less than a request or a few cached blocks: a wider margin sends half of the work past a warm engine. */
+const EQUAL_SCORES_MS = 10;
+
 /** Keeps work in the own zone unless another zone of the region is better by about two requests. */
 const OTHER_ZONE_COST_MS = 40;
 
@@ -106,7 +109,7 @@
 }
 
 /**
- * Chooses an engine: one of the best two at random, so that routers with the same stale report do not all send
+ * Chooses an engine: one of the best two at random if they are nearly equal, so that routers with the same stale report do not all send
  * their work to the same engine. The two are taken from one distance, because a random pick of a far engine would
  * use the narrow link although a near engine is better.
  */
@@ -126,6 +129,7 @@
   );
   // The part of the random number that the start left over.
   const coin = (request.random * usable.length) % 1;
-  const chosen = second !== undefined && coin >= 0.5 ? second : best;
+  const chosen =
+    second !== undefined && coin >= 0.5 && second.scoreMs - best.scoreMs <= EQUAL_SCORES_MS ? second : best;
   return { kind: EngineChoiceKind.Chosen, candidate: chosen.candidate };
 }
