--- a/packages/core/src/routing/chooseEngine.ts
+++ b/packages/core/src/routing/chooseEngine.ts
@@ -43,8 +43,8 @@
 /** Expected wait per request that is ahead: a rough time share of one request in a continuous batch. */
 const WAIT_MS_PER_REQUEST = 20;
 
-/** Expected prefill time of one prefix block that is not cached. */
-const PREFILL_MS_PER_BLOCK = 5;
+/** Expected prefill time of one prefix block that is not cached; at 5 ms popular prefixes overload their engines. */
+const PREFILL_MS_PER_BLOCK = 2.5;
 
 /** Less than a request or a few cached blocks: a wider margin sends half of the work past a warm engine. */
 const EQUAL_SCORES_MS = 10;
