--- a/packages/core/src/routing/chooseEngine.ts
+++ b/packages/core/src/routing/chooseEngine.ts
@@ -34,11 +34,20 @@
 /** A load report counts half after this time, because requests have come and gone since. */
 const LOAD_HALF_LIFE_MS = 2_000;
 
+/**
+ * Reported requests count this much of own ones. At full weight all routers follow the same old report, which made
+ * the choice worse than a random one (bench:routing).
+ */
+const REPORT_WEIGHT = 0.1;
+
 /** Expected wait per request that is ahead: a rough time share of one request in a continuous batch. */
 const WAIT_MS_PER_REQUEST = 20;
 
-/** Expected prefill time of one prefix block that is not cached. */
-const PREFILL_MS_PER_BLOCK = 5;
+/** Expected prefill time of one prefix block that is not cached; at 5 ms popular prefixes overload their engines. */
+const PREFILL_MS_PER_BLOCK = 2.5;
+
+/** Less than a request or a few cached blocks: a wider margin sends half of the work past a warm engine. */
+const EQUAL_SCORES_MS = 10;
 
 /** Keeps work in the own zone unless another zone of the region is better by about two requests. */
 const OTHER_ZONE_COST_MS = 40;
@@ -48,7 +57,7 @@
     return 0;
   }
   const ageMs = info.load.ageMs + Math.max(0, nowMs - info.loadReadAtMs);
-  const weight = 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
+  const weight = REPORT_WEIGHT * 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
   return (info.load.runningCount + info.load.queuedCount) * weight;
 }
 
@@ -74,8 +83,33 @@
   );
 }
 
+interface ScoredCandidate {
+  readonly candidate: EngineCandidate;
+  readonly scoreMs: number;
+}
+
+/**
+ * Scores the usable candidates with a free slot. They start at a random one, so that equal scores fall to different
+ * engines; ordered by address, all routers without a report would choose the same two of many idle engines.
+ */
+function scoreFree(request: EngineChoiceRequest, usable: readonly EngineCandidate[]): ScoredCandidate[] {
+  const start = Math.floor(request.random * usable.length);
+  return [...usable.slice(start), ...usable.slice(0, start)]
+    .filter(({ engine, info }) => info.ownInFlightCount < engine.maxConcurrent)
+    .map((candidate) => ({ candidate, scoreMs: engineScoreMs(request, candidate) }));
+}
+
+/** The first of the lowest scores, in one pass: sorting hundreds of engines for each request takes a millisecond. */
+function findBest(scored: readonly ScoredCandidate[]): ScoredCandidate | undefined {
+  let best: ScoredCandidate | undefined;
+  for (const entry of scored) {
+    best = best === undefined || entry.scoreMs < best.scoreMs ? entry : best;
+  }
+  return best;
+}
+
 /**
- * Chooses an engine: one of the best two at random, so that routers with the same stale report do not all send
+ * Chooses an engine: one of the best two at random if they are nearly equal, so that routers with the same stale report do not all send
  * their work to the same engine. The two are taken from one distance, because a random pick of a far engine would
  * use the narrow link although a near engine is better.
  */
@@ -84,17 +118,18 @@
   if (usable.length === 0) {
     return { kind: EngineChoiceKind.NoneUsable };
   }
-  const [best, ...others] = usable
-    .filter(({ engine, info }) => info.ownInFlightCount < engine.maxConcurrent)
-    .map((candidate) => ({ candidate, scoreMs: engineScoreMs(request, candidate) }))
-    .sort(
-      (a, b) => a.scoreMs - b.scoreMs || a.candidate.engine.address.localeCompare(b.candidate.engine.address),
-    );
+  const scored = scoreFree(request, usable);
+  const best = findBest(scored);
   if (best === undefined) {
     return { kind: EngineChoiceKind.AllBusy };
   }
   const bestCostMs = distanceCostMs(request, best.candidate.engine);
-  const second = others.find(({ candidate }) => distanceCostMs(request, candidate.engine) <= bestCostMs);
-  const chosen = second !== undefined && request.random >= 0.5 ? second : best;
+  const second = findBest(
+    scored.filter((entry) => entry !== best && distanceCostMs(request, entry.candidate.engine) <= bestCostMs),
+  );
+  // The part of the random number that the start left over.
+  const coin = (request.random * usable.length) % 1;
+  const chosen =
+    second !== undefined && coin >= 0.5 && second.scoreMs - best.scoreMs <= EQUAL_SCORES_MS ? second : best;
   return { kind: EngineChoiceKind.Chosen, candidate: chosen.candidate };
 }
