--- a/packages/bench/src/overload/overloadWorld.ts
+++ b/packages/bench/src/overload/overloadWorld.ts
@@ -149,6 +149,9 @@
           this.defects.push(String(effect.fields.detail));
         }
         return;
+      // Engines here hold their models from the start, so orders get no answer.
+      case EffectKind.EngineOrder:
+      case EffectKind.EngineModelsRead:
       case EffectKind.AdminReply:
       case EffectKind.Metric:
       case EffectKind.Exit:
--- a/packages/bench/src/slopes/measureRouting.ts
+++ b/packages/bench/src/slopes/measureRouting.ts
@@ -30,6 +30,7 @@
     leavingSeenAtMs: -Infinity,
     consecutiveFailures: 0,
     ejectedUntilMs: 0,
+    ejectionsInRow: 0,
     prefixes: new PrefixMemory(),
   };
 }
