--- a/packages/core/src/routing/chooseEngine.ts
+++ b/packages/core/src/routing/chooseEngine.ts
@@ -99,7 +99,7 @@
     .map((candidate) => ({ candidate, scoreMs: engineScoreMs(request, candidate) }));
 }
 
-/** The first of the lowest scores, in one pass: sorting hundreds of engines for each request takes a millisecond. */
+/** The first of the lowest scores, in one pass, because no order of the other engines is needed. */
 function findBest(scored: readonly ScoredCandidate[]): ScoredCandidate | undefined {
   let best: ScoredCandidate | undefined;
   for (const entry of scored) {
