--- a/packages/demo/src/processFaults/scenarios.ts
+++ b/packages/demo/src/processFaults/scenarios.ts
@@ -89,7 +89,10 @@
 function checkLeavingEngine(setup: ScenarioSetup, { engines }: Evidence): string[] {
   const leaving = leavingEngine(setup);
   const records = engines[setup.plan.engines.indexOf(leaving)] ?? {};
-  const limitMs = (setup.stepTimesMs.get(ENGINE_LEAVES) ?? Infinity) + LEAVE_LIMIT_MS;
+  const leftAtMs = setup.stepTimesMs.get(ENGINE_LEAVES) ?? Infinity;
+  const limitMs = leftAtMs + LEAVE_LIMIT_MS;
+  const lastStartMs = Math.max(...Object.values(records).flatMap(({ startedAtMs }) => startedAtMs));
+  setup.progress(`last start on the leaving engine ${lastStartMs - leftAtMs} ms after it left the list`);
   return Object.entries(records).flatMap(([key, { startedAtMs }]) => {
     const late = startedAtMs.filter((atMs) => atMs > limitMs);
     return late.map((atMs) => `${key}: started ${atMs - limitMs} ms too late on the leaving engine`);
