Apply a newly read membership list at the next choice of an upstream

Cause: signs of leaving in the membership list were applied only at the start of the next probes, up to one probe interval after the list was read.

Change: a choice of an engine or a service address first applies a list that was read since the last probes. A list is applied once, so that a choice does not pay for it. The new test fails without the change.

--- a/packages/core/src/requests/engineWork.ts
+++ b/packages/core/src/requests/engineWork.ts
@@ -2,7 +2,7 @@
 import type { Reservation } from '../money/types.ts';
 import { EngineChoiceKind, chooseEngine } from '../routing/chooseEngine.ts';
 import { prefixHashes } from '../routing/prefixHashes.ts';
-import { upstreamInfo } from '../routing/upstreams.ts';
+import { markNewlyListedLeaving, upstreamInfo } from '../routing/upstreams.ts';
 import type { Task } from '../scheduler/task.ts';
 import type { ChatCompletionRequest, UpstreamRequest } from '../types/requests.ts';
 import { UpstreamRequestKind } from '../types/requests.ts';
@@ -88,6 +88,7 @@
 function tryTakeEngine(context: CoreContext, state: WorkState): Taken | undefined {
   const { board, clock, options } = context;
   const { model } = state.work.chat;
+  markNewlyListedLeaving(context);
   const engines = (board.configuration?.document.engines ?? []).filter(({ models }) =>
     models.includes(model),
   );
--- a/packages/core/src/requests/serviceCall.ts
+++ b/packages/core/src/requests/serviceCall.ts
@@ -1,7 +1,7 @@
 import type { CoreContext } from '../context.ts';
 import type { Reservation } from '../money/types.ts';
 import { chooseServiceAddress } from '../routing/chooseServiceAddress.ts';
-import { upstreamInfo } from '../routing/upstreams.ts';
+import { markNewlyListedLeaving, upstreamInfo } from '../routing/upstreams.ts';
 import type { Task } from '../scheduler/task.ts';
 import type { OperationRule, PlainServiceSection } from '../types/configuration.ts';
 import { EffectKind } from '../types/effects.ts';
@@ -219,6 +219,7 @@
   const { run, call, service, operation } = job;
   const excluded = new Set<string>();
   for (let attemptCount = 1; ; attemptCount += 1) {
+    markNewlyListedLeaving(context);
     const candidates = service.addresses.map((address) => upstreamInfo(context, address));
     const { monotonicMs } = context.clock;
     const chosen = chooseServiceAddress(candidates, excluded, monotonicMs, context.random());
--- a/packages/core/src/routing/__tests__/probeController.test.ts
+++ b/packages/core/src/routing/__tests__/probeController.test.ts
@@ -35,6 +35,22 @@
   assert.notEqual(bench.open(0).address, ADDRESS);
 });
 
+test('a list that was read since the last probes is applied at the choice (a stream on a leaving engine)', () => {
+  const bench = new RequestBench(true, 500);
+  bench.advance(500);
+  const vm = { vmId: 'vm-e', address: ADDRESS, role: VmRole.Engine, state: VmState.Leaving };
+  const row = { ...vm, region: 'near', availabilityZone: 'near-a' };
+  const { membership } = bench.core.board;
+  membership.vms = new Map([['vm-e', row]]);
+  membership.listReadAtMs = 1;
+  for (let count = 0; count < 8; count += 1) {
+    bench.chat();
+    const { address, attemptId } = bench.open(count);
+    assert.notEqual(address, ADDRESS);
+    bench.finish(attemptId, 0);
+  }
+});
+
 test('many engines are probed in turns, so that probes stay within the bytes for control', () => {
   const bench = new RequestBench(true, 500);
   bench.addEngines(...Array.from({ length: 28 }, (_, index) => `127.1.1.${index + 1}:8400`));
--- a/packages/core/src/routing/createRoutingState.ts
+++ b/packages/core/src/routing/createRoutingState.ts
@@ -1,5 +1,5 @@
 import type { RoutingState } from './types.ts';
 
 export function createRoutingState(): RoutingState {
-  return { upstreams: new Map() };
+  return { upstreams: new Map(), appliedListReadAtMs: undefined };
 }
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -20,4 +20,6 @@
 export interface RoutingState {
   /** By address. */
   readonly upstreams: Map<string, UpstreamInfo>;
+  /** When the membership list was read whose signs of leaving are applied. */
+  appliedListReadAtMs: number | undefined;
 }
--- a/packages/core/src/routing/upstreams.ts
+++ b/packages/core/src/routing/upstreams.ts
@@ -30,6 +30,7 @@
  * the list alone also takes their sign back, when a new VM has the address.
  */
 export function markListedLeaving(context: CoreContext): void {
+  context.board.routing.appliedListReadAtMs = context.board.membership.listReadAtMs;
   for (const vm of context.board.membership.vms.values()) {
     if (vm.role === VmRole.Router) {
       continue;
@@ -60,6 +61,14 @@
   }
 }
 
+/** Applies a list that was read since the last probes, so that a choice need not wait for the next ones. */
+export function markNewlyListedLeaving(context: CoreContext): void {
+  const { membership, routing } = context.board;
+  if (routing.appliedListReadAtMs !== membership.listReadAtMs) {
+    markListedLeaving(context);
+  }
+}
+
 export function isListedLeaving(context: CoreContext, address: string): boolean {
   const vms = [...context.board.membership.vms.values()];
   return vms.some((vm) => vm.address === address && vm.state === VmState.Leaving);
