--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -25,4 +25,6 @@
   readonly probeRequests: Channel<undefined>;
   /** By address. */
   readonly upstreams: Map<string, UpstreamInfo>;
+  /** When the membership list was read whose signs of leaving are applied. */
+  appliedListReadAtMs: number | undefined;
 }
