--- a/packages/core/src/configuration/__tests__/coreDriver.ts
+++ b/packages/core/src/configuration/__tests__/coreDriver.ts
@@ -2,7 +2,7 @@
 import { RouterCore } from '../../routerCore.ts';
 import { seededRandom } from '../../random.ts';
 import { SectionName } from '../../types/configuration.ts';
-import type { ConfigurationParser, StoredConfiguration } from '../../types/configuration.ts';
+import type { ConfigurationParser, EngineSection, StoredConfiguration } from '../../types/configuration.ts';
 import type { Effect } from '../../types/effects.ts';
 import { EffectKind } from '../../types/effects.ts';
 import type { AdminRequest, CoreEvent } from '../../types/events.ts';
@@ -13,14 +13,23 @@
 import { TableFake } from './tableFake.ts';
 
 /** Accepts every text but `broken`, so that the core is tested apart from the schema. */
-const fakeParser: ConfigurationParser = (sections) => {
-  const broken = sections.find((section) => section.text === 'broken');
-  return broken === undefined
-    ? ok({ organisations: [], budgets: [], services: [], rules: [], classes: [], engines: [] })
-    : err([
-        { section: broken.name, line: 1, column: 1, field: 'x', expected: 'a list', advice: 'write a list' },
-      ]);
-};
+const fakeParser =
+  (engines: readonly EngineSection[]): ConfigurationParser =>
+  (sections) => {
+    const broken = sections.find((section) => section.text === 'broken');
+    return broken === undefined
+      ? ok({ organisations: [], budgets: [], services: [], rules: [], classes: [], engines })
+      : err([
+          {
+            section: broken.name,
+            line: 1,
+            column: 1,
+            field: 'x',
+            expected: 'a list',
+            advice: 'write a list',
+          },
+        ]);
+  };
 
 export function configurationAt(revision: number, text = '[]'): StoredConfiguration {
   const name = SectionName.Classes;
@@ -33,6 +42,8 @@
 export interface CoreDriverSetup {
   readonly number?: number;
   readonly table?: TableFake;
+  /** Engines of every configuration. */
+  readonly engines?: readonly EngineSection[];
 }
 
 /** Steps one router core with a fake clock and answers its table calls from a fake table. */
@@ -52,7 +63,7 @@
       identity: { ...peerNumber(number), storeRegion: 'near', callerAddress: `10.0.0.${number}:80` },
       random: seededRandom(number),
       clock: { monotonicMs: 0, wallMs: 0 },
-      parseConfiguration: fakeParser,
+      parseConfiguration: fakeParser(setup.engines ?? []),
     });
   }
 
--- a/packages/core/src/configuration/__tests__/propagation.test.ts
+++ b/packages/core/src/configuration/__tests__/propagation.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { EffectKind, LogLevel } from '../../types/effects.ts';
+import { EventKind } from '../../types/events.ts';
 import { PeerMessageKind, RouterState } from '../../types/messages.ts';
 import { encodeSection } from '../storedRows.ts';
 import { configurationAt, CoreDriver, peerSends } from './coreDriver.ts';
@@ -90,6 +91,34 @@
   assert.equal(driver.core.board.routerState, RouterState.Live);
 });
 
+const ENGINE = {
+  engineId: 'e',
+  address: '10.0.0.9:84',
+  region: 'near',
+  availabilityZone: 'near-a',
+  models: ['m'],
+  maxConcurrent: 1,
+  honoursFencing: true,
+};
+
+// Guards against work for engines that are leaving, and against a router that waits for a dead engine for ever.
+test('a router is Live once its engines have reported, and after a bounded wait without a report', () => {
+  const driver = new CoreDriver({ engines: [ENGINE] });
+  const seen = driver.receive(2, reply(1));
+  driver.advance(1_000);
+  assert.equal(driver.core.board.routerState, RouterState.Starting);
+  const probe = [...seen, ...driver.effects].findLast((effect) => effect.kind === EffectKind.UpstreamProbe);
+  assert.ok(probe?.kind === EffectKind.UpstreamProbe);
+  const load = { runningCount: 0, queuedCount: 0, leaving: false, ageMs: 0, cachedPrefixHashes: [] };
+  driver.step({ kind: EventKind.UpstreamProbed, callId: probe.callId, address: ENGINE.address, load });
+  driver.advance(500);
+  assert.equal(driver.core.board.routerState, RouterState.Live);
+  const alone = new CoreDriver({ engines: [ENGINE] });
+  alone.receive(2, reply(1));
+  alone.advance(4_000);
+  assert.equal(alone.core.board.routerState, RouterState.Live);
+});
+
 // Guards against reads of the store that grow with the number of routers.
 test('two routers of a region poll the revision', () => {
   const numbers = [1, 2, 3, 4, 5, 6];
--- a/packages/core/src/money/recordPeers.ts
+++ b/packages/core/src/money/recordPeers.ts
@@ -19,10 +19,12 @@
 /**
  * Peers that hold copies of an organisation's records: other availability zones first, because a zone fails as a
  * whole. Each organisation has its own order, so that copies spread over the region and a lookup knows where to ask.
+ * A draining peer is taken only where no other is left: it counts for no safety, but it settles its used copies.
  */
 export function copyPeerAddresses(context: CoreContext, organisationId: string): string[] {
   const { identity } = context.board;
-  const ordered = inOrderOf(organisationId, stayingPeers(context));
+  const staying = stayingPeers(context);
+  const ordered = inOrderOf(organisationId, staying.length > 0 ? staying : liveRegionPeers(context));
   const elsewhere = ordered.filter((peer) => peer.sender.availabilityZone !== identity.availabilityZone);
   const here = ordered.filter((peer) => peer.sender.availabilityZone === identity.availabilityZone);
   return [...elsewhere, ...here].slice(0, context.options.copyCount).map((peer) => peer.sender.peerAddress);
