--- a/packages/bench/src/slopes/measureBills.ts
+++ b/packages/bench/src/slopes/measureBills.ts
@@ -1,3 +1,4 @@
+import { DEFAULT_CORE_OPTIONS } from '@pimentostall/core';
 import { addBillEntries, addShares, addUsedRecord, registeredRouter } from './ledgerModel.ts';
 import type { SlopeOptions } from './options.ts';
 import { sizesOf } from './options.ts';
@@ -14,7 +15,8 @@
   (TARGET.requestsPerSecond * WINDOW_SECONDS) / TARGET.organisations / BUCKETS,
 );
 const SETTLEMENTS = 5;
-const SETTLE_MS = 3_000;
+/** Holds one settlement. */
+const SETTLE_MS = DEFAULT_CORE_OPTIONS.settleIntervalMs + 1_000;
 
 /** One settlement of one record, whose bucket holds this many identities. */
 function measureBucket(entries: number): Readonly<Record<'time' | 'bytes', number>> {
--- a/packages/bench/src/slopes/measureLedger.ts
+++ b/packages/bench/src/slopes/measureLedger.ts
@@ -1,3 +1,4 @@
+import { DEFAULT_CORE_OPTIONS } from '@pimentostall/core';
 import { addShares, addUsedRecord, registeredRouter } from './ledgerModel.ts';
 import type { SlopeOptions } from './options.ts';
 import { sizesOf } from './options.ts';
@@ -10,8 +11,8 @@
 const RECORD_SIZES = [100, 1_000, 10_000];
 const MICROS_PER_MILLISECOND = 1_000;
 const IDLE_SECONDS = 2;
-/** Settlement is due every 2 s, so this holds one settlement of every active organisation. */
-const ACTIVE_SECONDS = 3;
+/** Holds one settlement of every active organisation. */
+const ACTIVE_SECONDS = DEFAULT_CORE_OPTIONS.settleIntervalMs / 1_000 + 1;
 const ACTIVE_FRACTION = 0.01;
 /** Settlement scans all records for every organisation; at more active ones a run would take minutes. */
 const MAX_ACTIVE_BUDGETS = 10_000;
--- a/packages/bench/src/slopes/measureQueries.ts
+++ b/packages/bench/src/slopes/measureQueries.ts
@@ -1,5 +1,5 @@
 import type { Effect } from '@pimentostall/core';
-import { EffectKind, EventKind, PeerMessageKind } from '@pimentostall/core';
+import { DEFAULT_CORE_OPTIONS, EffectKind, EventKind, PeerMessageKind } from '@pimentostall/core';
 import { encodeEnvelope } from '../../../shell/src/peers/encodeEnvelope.ts';
 import { configure, documentOf } from './configurationModel.ts';
 import type { DrivenRouter } from './drivenRouter.ts';
@@ -19,7 +19,7 @@
 const ORGANISATIONS = 31;
 const QUERIES = 500;
 const REQUEST_SECONDS = 12;
-const SETTLE_SECONDS = 2;
+const SETTLE_SECONDS = DEFAULT_CORE_OPTIONS.settleIntervalMs / 1_000;
 /** Own records from the reservation to the settlement, and as many at each of two holders. */
 const RECORDS_HELD = Math.round(REQUESTS_PER_ROUTER * (REQUEST_SECONDS + SETTLE_SECONDS) * 3);
 
