Use enums and results for the ends of claims, attempts and engine work

Cause: the style asks for enums as discriminants and neverthrow results for errors; these unions used bare strings. Change: names only; a call's end is a Result.

--- a/packages/core/src/requests/chatRequest.ts
+++ b/packages/core/src/requests/chatRequest.ts
@@ -8,7 +8,7 @@
 import { classOf } from './admission.ts';
 import { dropDepartedCallers, redirectCallers } from './callers.ts';
 import type { EngineWorkEnd } from './engineWork.ts';
-import { doEngineWork } from './engineWork.ts';
+import { doEngineWork, WorkEndKind } from './engineWork.ts';
 import { identifyRequest, runningKey } from './identity.ts';
 import { billMicros, likelyPromptTokens, outputLimit, worstCaseMicros } from './price.ts';
 import { refuseExchange, refuseRun } from './refusal.ts';
@@ -73,13 +73,13 @@
   const work = { run, chat, maxOutputTokens: 0, reservation: undefined, knownAddress };
   const end = yield* doEngineWork(context, work);
   switch (end.kind) {
-    case 'finished':
+    case WorkEndKind.Finished:
       sendAnswerEnd(context, run, chat.model);
       return;
-    case 'refused':
+    case WorkEndKind.Refused:
       refuseRun(context, run, end.reason);
       return;
-    case 'abandoned':
+    case WorkEndKind.Abandoned:
       return;
   }
 }
@@ -133,14 +133,14 @@
   }
   dropDepartedCallers(context, run);
   switch (end.kind) {
-    case 'finished':
+    case WorkEndKind.Finished:
       rememberAnswered(context, run, end.address);
       sendAnswerEnd(context, run, chat.model);
       return;
-    case 'refused':
+    case WorkEndKind.Refused:
       refuseRun(context, run, end.reason);
       return;
-    case 'abandoned':
+    case WorkEndKind.Abandoned:
       // Callers that joined after the work was cancelled cannot get the rest.
       if (run.callers.size > 0) {
         refuseRun(context, run, RefusalReason.UpstreamFailed);
--- a/packages/core/src/requests/claim.ts
+++ b/packages/core/src/requests/claim.ts
@@ -74,30 +74,44 @@
   return structuredClone(row) as unknown as JsonValue;
 }
 
+/** What a look at a claim row found. */
+export enum ClaimLookupKind {
+  Free = 'free',
+  Unreachable = 'unreachable',
+  Found = 'found',
+}
+
 export type ClaimLookup =
   /** No claim holds; `version` is what a new claim must find. */
-  | { readonly kind: 'free'; readonly version: number }
-  | { readonly kind: 'unreachable' }
-  | { readonly kind: 'found'; readonly row: ClaimRow };
+  | { readonly kind: ClaimLookupKind.Free; readonly version: number }
+  | { readonly kind: ClaimLookupKind.Unreachable }
+  | { readonly kind: ClaimLookupKind.Found; readonly row: ClaimRow };
 
 /** Reads the claim of an identity. */
 export function* lookUpClaim(context: CoreContext, key: string): Task<ClaimLookup> {
   const rows = yield* readRows(context, [key]);
   if (rows === undefined) {
-    return { kind: 'unreachable' };
+    return { kind: ClaimLookupKind.Unreachable };
   }
   const stored = rows.get(key);
   const row = parseClaim(stored);
   if (row === undefined || row.state === ClaimState.Released) {
-    return { kind: 'free', version: stored?.version ?? ABSENT_ROW_VERSION };
+    return { kind: ClaimLookupKind.Free, version: stored?.version ?? ABSENT_ROW_VERSION };
   }
-  return { kind: 'found', row };
+  return { kind: ClaimLookupKind.Found, row };
+}
+
+/** How an attempt to take a claim ended. */
+export enum ClaimResultKind {
+  Claimed = 'claimed',
+  Unreachable = 'unreachable',
+  Taken = 'taken',
 }
 
 export type ClaimResult =
-  | { readonly kind: 'claimed' }
-  | { readonly kind: 'unreachable' }
-  | { readonly kind: 'taken'; readonly row: ClaimRow };
+  | { readonly kind: ClaimResultKind.Claimed }
+  | { readonly kind: ClaimResultKind.Unreachable }
+  | { readonly kind: ClaimResultKind.Taken; readonly row: ClaimRow };
 
 /**
  * Writes the claim if there is none. A commit without an answer is repeated: if the first one took effect, the
@@ -120,14 +134,16 @@
     }
     const outcome = yield* commitTransaction(context, transaction);
     if (outcome.kind === TableOutcomeKind.Committed) {
-      return { kind: 'claimed' };
+      return { kind: ClaimResultKind.Claimed };
     }
     const row = outcome.kind === TableOutcomeKind.Conflict ? parseClaim(outcome.rows[0]) : undefined;
     if (row !== undefined) {
-      return row.claimantId === claim.claimantId ? { kind: 'claimed' } : { kind: 'taken', row };
+      return row.claimantId === claim.claimantId
+        ? { kind: ClaimResultKind.Claimed }
+        : { kind: ClaimResultKind.Taken, row };
     }
   }
-  return { kind: 'unreachable' };
+  return { kind: ClaimResultKind.Unreachable };
 }
 
 /** Records the outcome, in the background until the table has it. */
--- a/packages/core/src/requests/engineWork.ts
+++ b/packages/core/src/requests/engineWork.ts
@@ -30,10 +30,17 @@
   readonly knownAddress: string | undefined;
 }
 
+/** How the work of engines on a request ended. */
+export enum WorkEndKind {
+  Finished = 'finished',
+  Refused = 'refused',
+  Abandoned = 'abandoned',
+}
+
 export type EngineWorkEnd =
-  | { readonly kind: 'finished'; readonly address: string }
-  | { readonly kind: 'refused'; readonly reason: RefusalReason }
-  | { readonly kind: 'abandoned' };
+  | { readonly kind: WorkEndKind.Finished; readonly address: string }
+  | { readonly kind: WorkEndKind.Refused; readonly reason: RefusalReason }
+  | { readonly kind: WorkEndKind.Abandoned };
 
 interface WorkState {
   readonly work: EngineWork;
@@ -45,15 +52,22 @@
   resumeCount: number;
 }
 
+/** What follows an attempt. */
+enum StepKind {
+  Start = 'start',
+  Resume = 'resume',
+  End = 'end',
+}
+
 type Step =
-  | { readonly kind: 'start' }
-  | { readonly kind: 'resume'; readonly address: string }
-  | { readonly kind: 'end'; readonly end: EngineWorkEnd };
+  | { readonly kind: StepKind.Start }
+  | { readonly kind: StepKind.Resume; readonly address: string }
+  | { readonly kind: StepKind.End; readonly end: EngineWorkEnd };
 
-const START: Step = { kind: 'start' };
+const START: Step = { kind: StepKind.Start };
 
 function refused(reason: RefusalReason): Step {
-  return { kind: 'end', end: { kind: 'refused', reason } };
+  return { kind: StepKind.End, end: { kind: WorkEndKind.Refused, reason } };
 }
 
 /** Gets the whole answer from engines: starts, resumes and one retry, until it is complete or cannot be. */
@@ -67,16 +81,17 @@
     retryCount: 0,
     resumeCount: 0,
   };
-  let step: Step = work.knownAddress === undefined ? START : { kind: 'resume', address: work.knownAddress };
+  let step: Step =
+    work.knownAddress === undefined ? START : { kind: StepKind.Resume, address: work.knownAddress };
   for (;;) {
     switch (step.kind) {
-      case 'start':
+      case StepKind.Start:
         step = yield* startOnEngine(context, state);
         break;
-      case 'resume':
+      case StepKind.Resume:
         step = yield* resumeOnEngine(context, state, step.address);
         break;
-      case 'end':
+      case StepKind.End:
         return step.end;
     }
   }
@@ -123,7 +138,9 @@
   const { run, chat, maxOutputTokens } = state.work;
   const taken = yield* takeInOrder(context, run, chat.model, () => tryTakeEngine(context, state));
   if ('refusal' in taken) {
-    return taken.refusal === undefined ? { kind: 'end', end: { kind: 'abandoned' } } : refused(taken.refusal);
+    return taken.refusal === undefined
+      ? { kind: StepKind.End, end: { kind: WorkEndKind.Abandoned } }
+      : refused(taken.refusal);
   }
   const { address } = taken.value;
   if (address === undefined) {
@@ -165,9 +182,9 @@
   const { run } = state.work;
   switch (end) {
     case AttemptEnd.Finished:
-      return { kind: 'end', end: { kind: 'finished', address } };
+      return { kind: StepKind.End, end: { kind: WorkEndKind.Finished, address } };
     case AttemptEnd.Abandoned:
-      return { kind: 'end', end: { kind: 'abandoned' } };
+      return { kind: StepKind.End, end: { kind: WorkEndKind.Abandoned } };
     case AttemptEnd.DeadlineExceeded:
       return refused(RefusalReason.DeadlineExceeded);
     case AttemptEnd.Paused:
@@ -187,7 +204,7 @@
 
 function resumeOrGiveUp(state: WorkState, address: string): Step {
   return state.resumeCount < MAX_RESUMES
-    ? { kind: 'resume', address }
+    ? { kind: StepKind.Resume, address }
     : refused(RefusalReason.UpstreamFailed);
 }
 
--- a/packages/core/src/requests/serviceAttempt.ts
+++ b/packages/core/src/requests/serviceAttempt.ts
@@ -22,11 +22,11 @@
 import { AttemptState } from './verdict.ts';
 
 export type ServiceAttemptEnd =
-  | { readonly kind: 'answered'; readonly outcome: CallOutcome }
-  | { readonly kind: 'notSent' }
-  | { readonly kind: 'lost' }
-  | { readonly kind: 'deadlineExceeded' }
-  | { readonly kind: 'paused' };
+  | { readonly kind: ServiceAttemptKind.Answered; readonly outcome: CallOutcome }
+  | { readonly kind: ServiceAttemptKind.NotSent }
+  | { readonly kind: ServiceAttemptKind.Lost }
+  | { readonly kind: ServiceAttemptKind.DeadlineExceeded }
+  | { readonly kind: ServiceAttemptKind.Paused };
 
 const FIRST_SERVER_ERROR = 500;
 
@@ -39,10 +39,10 @@
   reservation: Reservation,
 ): Task<ServiceAttemptEnd> {
   if (!mayDispatch(context, reservation)) {
-    return { kind: 'paused' };
+    return { kind: ServiceAttemptKind.Paused };
   }
   if (context.clock.monotonicMs >= run.deadlineMs) {
-    return { kind: 'deadlineExceeded' };
+    return { kind: ServiceAttemptKind.DeadlineExceeded };
   }
   const { method, path, body, contentType } = call;
   const record: AttemptRecord = { attemptId: context.newId(), foreign: false, state: AttemptState.Sent };
@@ -84,7 +84,7 @@
     const event = yield* receive(channel, run.deadlineMs);
     if (event === undefined) {
       recordUpstreamFailure(context, info);
-      return { kind: 'deadlineExceeded' };
+      return { kind: ServiceAttemptKind.DeadlineExceeded };
     }
     switch (event.kind) {
       case EventKind.UpstreamStarted:
@@ -98,16 +98,26 @@
         } else {
           recordUpstreamSuccess(info);
         }
-        return { kind: 'answered', outcome: { status, body, contentType: contentType ?? null } };
+        return {
+          kind: ServiceAttemptKind.Answered,
+          outcome: { status, body, contentType: contentType ?? null },
+        };
       }
       case EventKind.UpstreamFailed:
         if (event.bytesSent) {
           recordUpstreamFailure(context, info);
-          return { kind: 'lost' };
+          return { kind: ServiceAttemptKind.Lost };
         }
         record.state = AttemptState.NotSent;
         ejectUpstream(context, info);
-        return { kind: 'notSent' };
+        return { kind: ServiceAttemptKind.NotSent };
     }
   }
+} /** How one attempt on a plain service ended. */
+export enum ServiceAttemptKind {
+  Answered = 'answered',
+  NotSent = 'notSent',
+  Lost = 'lost',
+  DeadlineExceeded = 'deadlineExceeded',
+  Paused = 'paused',
 }
--- a/packages/core/src/requests/serviceCall.ts
+++ b/packages/core/src/requests/serviceCall.ts
@@ -1,3 +1,5 @@
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import type { CoreContext } from '../context.ts';
 import type { Reservation } from '../money/types.ts';
 import { chooseServiceAddress } from '../routing/chooseServiceAddress.ts';
@@ -13,14 +15,23 @@
 import { classOf } from './admission.ts';
 import { attachCaller, dropDepartedCallers, startCaller } from './callers.ts';
 import type { CallOutcome, Claim, ClaimCharge, ClaimRow } from './claim.ts';
-import { ClaimState, claimKey, lookUpClaim, recordOutcome, releaseClaim, takeClaim } from './claim.ts';
+import {
+  ClaimLookupKind,
+  ClaimResultKind,
+  ClaimState,
+  claimKey,
+  lookUpClaim,
+  recordOutcome,
+  releaseClaim,
+  takeClaim,
+} from './claim.ts';
 import { identifyRequest, runningKey } from './identity.ts';
 import { refuseExchange, refuseRun } from './refusal.ts';
 import { emitAnswered } from './requestMetrics.ts';
 import { reserveOrRefuse } from './reserveOrRefuse.ts';
 import { takeRetry } from './retryBudget.ts';
 import { endRun, findAnswered, learnFromPeers, rememberAnswered, startRun } from './running.ts';
-import { runServiceAttempt } from './serviceAttempt.ts';
+import { runServiceAttempt, ServiceAttemptKind } from './serviceAttempt.ts';
 import type { RunningRequest } from './types.ts';
 import { AttemptState, verdictOf } from './verdict.ts';
 
@@ -128,12 +139,12 @@
 function* findFreeVersion(context: CoreContext, run: RunningRequest, claim: Claim): Task<number | undefined> {
   const lookup = yield* lookUpClaim(context, claim.key);
   switch (lookup.kind) {
-    case 'free':
+    case ClaimLookupKind.Free:
       return lookup.version;
-    case 'unreachable':
+    case ClaimLookupKind.Unreachable:
       refuseRun(context, run, RefusalReason.StoreUnavailable);
       return undefined;
-    case 'found':
+    case ClaimLookupKind.Found:
       yield* answerFromClaim(context, run, lookup.row);
       return undefined;
   }
@@ -188,31 +199,30 @@
   yield* money.protectReservation(context, reservation, undefined);
   const result = yield* takeClaim(context, claim, freeVersion, run.deadlineMs);
   switch (result.kind) {
-    case 'unreachable':
+    case ClaimResultKind.Unreachable:
       money.releaseReservation(context, reservation);
       // A commit without an answer may have taken effect.
       releaseClaim(context, claim);
       refuseRun(context, run, RefusalReason.StoreUnavailable);
       return;
-    case 'taken':
+    case ClaimResultKind.Taken:
       money.releaseReservation(context, reservation);
       yield* answerFromClaim(context, run, result.row);
       return;
-    case 'claimed':
+    case ClaimResultKind.Claimed:
       break;
   }
   const end = yield* attemptCall(context, job, reservation);
-  if (end.kind === 'answered') {
-    recordOutcome(context, claim, end.outcome, reservation);
+  if (end.isOk()) {
+    recordOutcome(context, claim, end.value, reservation);
   } else if (ownVerdict(run) === Verdict.DidNotRun) {
     releaseClaim(context, claim);
   }
   yield* answerCall(context, job, reservation, end);
 }
 
-type CallEnd =
-  | { readonly kind: 'answered'; readonly outcome: CallOutcome }
-  | { readonly kind: 'refused'; readonly reason: RefusalReason };
+/** The service's answer, or why there is none. */
+type CallEnd = Result<CallOutcome, RefusalReason>;
 
 /** Attempts the call on the service's addresses, again only where a second run is impossible or harmless. */
 function* attemptCall(context: CoreContext, job: CallJob, reservation: Reservation): Task<CallEnd> {
@@ -224,27 +234,27 @@
     const { monotonicMs } = context.clock;
     const chosen = chooseServiceAddress(candidates, excluded, monotonicMs, context.random());
     if (chosen === undefined) {
-      return { kind: 'refused', reason: noAddressReason(run) };
+      return err(noAddressReason(run));
     }
     const end = yield* runServiceAttempt(context, run, call, chosen.address, reservation);
     switch (end.kind) {
-      case 'answered':
-        return end;
-      case 'paused':
-        return { kind: 'refused', reason: RefusalReason.Paused };
-      case 'deadlineExceeded':
-        return { kind: 'refused', reason: RefusalReason.DeadlineExceeded };
-      case 'notSent':
+      case ServiceAttemptKind.Answered:
+        return ok(end.outcome);
+      case ServiceAttemptKind.Paused:
+        return err(RefusalReason.Paused);
+      case ServiceAttemptKind.DeadlineExceeded:
+        return err(RefusalReason.DeadlineExceeded);
+      case ServiceAttemptKind.NotSent:
         excluded.add(chosen.address);
         break;
-      case 'lost':
+      case ServiceAttemptKind.Lost:
         if (!operation.idempotent && !service.honoursKey) {
-          return { kind: 'refused', reason: RefusalReason.UpstreamFailed };
+          return err(RefusalReason.UpstreamFailed);
         }
         break;
     }
     if (attemptCount >= MAX_ATTEMPTS || !takeRetry(context.board.requests.retryBudget)) {
-      return { kind: 'refused', reason: noAddressReason(run) };
+      return err(noAddressReason(run));
     }
   }
 }
@@ -264,18 +274,15 @@
   if (ownVerdict(run) === Verdict.DidNotRun) {
     money.releaseReservation(context, reservation);
   } else {
-    const usedMicros = end.kind === 'answered' ? reservation.amountMicros : 0;
+    const usedMicros = end.isOk() ? reservation.amountMicros : 0;
     yield* money.completeReservation(context, reservation, usedMicros);
   }
-  switch (end.kind) {
-    case 'answered':
-      rememberAnswered(context, run, '');
-      sendOutcome(context, run, end.outcome);
-      return;
-    case 'refused':
-      refuseRun(context, run, end.reason);
-      return;
+  if (end.isErr()) {
+    refuseRun(context, run, end.error);
+    return;
   }
+  rememberAnswered(context, run, '');
+  sendOutcome(context, run, end.value);
 }
 
 function sendOutcome(context: CoreContext, run: RunningRequest, outcome: CallOutcome): void {
