--- a/packages/core/src/money/topUpWatch.ts
+++ b/packages/core/src/money/topUpWatch.ts
@@ -28,8 +28,12 @@
     }
     this.revision = configuration.revision;
     this.passedAtMs = monotonicMs;
+    const ownAddress = context.board.identity.peerAddress;
+    // Listed once for the pass, because a document may hold tens of thousands of budgets.
+    const peerAddresses = liveRegionPeers(context).map((peer) => peer.sender.peerAddress);
     return configuration.document.budgets
-      .filter((budget) => hasUnknownTopUp(context, budget) && isFirst(context, budget.organisationId))
+      .filter((budget) => hasUnknownTopUp(context, budget))
+      .filter((budget) => isFirst(budget.organisationId, ownAddress, peerAddresses))
       .map((budget) => budget.organisationId);
   }
 }
@@ -39,8 +43,9 @@
   return budget.topUps.some((topUp) => known?.has(topUp.topUpId) !== true);
 }
 
-function isFirst(context: CoreContext, organisationId: string): boolean {
+/** True for the router with the highest hash weight of the region. */
+function isFirst(organisationId: string, ownAddress: string, peerAddresses: readonly string[]): boolean {
   const weight = (address: string): number => hash32(`${organisationId}|${address}`);
-  const ownWeight = weight(context.board.identity.peerAddress);
-  return liveRegionPeers(context).every((peer) => weight(peer.sender.peerAddress) <= ownWeight);
+  const ownWeight = weight(ownAddress);
+  return peerAddresses.every((address) => weight(address) <= ownWeight);
 }
