--- a/packages/core/src/routing/chooseEngine.ts
+++ b/packages/core/src/routing/chooseEngine.ts
@@ -109,9 +109,9 @@
 }
 
 /**
- * Chooses an engine: one of the best two at random if they are nearly equal, so that routers with the same stale report do not all send
- * their work to the same engine. The two are taken from one distance, because a random pick of a far engine would
- * use the narrow link although a near engine is better.
+ * Chooses an engine: one of the best two at random if they are nearly equal, so that routers with the same stale
+ * report do not all send their work to the same engine. The two are taken from one distance, because a random pick of
+ * a far engine would use the narrow link although a near engine is better.
  */
 export function chooseEngine(request: EngineChoiceRequest): EngineChoice {
   const usable = request.candidates.filter((candidate) => isUsable(request, candidate));
@@ -128,8 +128,10 @@
     scored.filter((entry) => entry !== best && distanceCostMs(request, entry.candidate.engine) <= bestCostMs),
   );
   // The part of the random number that the start left over.
-  const coin = (request.random * usable.length) % 1;
+  const remainder = (request.random * usable.length) % 1;
   const chosen =
-    second !== undefined && coin >= 0.5 && second.scoreMs - best.scoreMs <= EQUAL_SCORES_MS ? second : best;
+    second !== undefined && remainder >= 0.5 && second.scoreMs - best.scoreMs <= EQUAL_SCORES_MS
+      ? second
+      : best;
   return { kind: EngineChoiceKind.Chosen, candidate: chosen.candidate };
 }
--- a/packages/demo/src/callers/__tests__/callers.test.ts
+++ b/packages/demo/src/callers/__tests__/callers.test.ts
@@ -3,9 +3,10 @@
 import { Verdict } from '@pimentostall/core';
 import { CallOutcome } from '../../auditor/types.ts';
 import type { AttemptResult } from '../attempt.ts';
+import { AttemptKind } from '../attempt.ts';
 import { outcomeOf } from '../caller.ts';
 import { keyOfScopedIdentity, scopedIdentity } from '../identity.ts';
-import { readEventStream } from '../readEventStream.ts';
+import { readEventStream, StreamEndKind } from '../readEventStream.ts';
 
 function chunk(content: string): string {
   return `data: ${JSON.stringify({ choices: [{ delta: { content } }] })}\n\n`;
@@ -14,24 +15,28 @@
 describe('callers', () => {
   it('takes a stream without its end mark as broken (a cut answer must not count as whole)', () => {
     const body = chunk('a ') + chunk('b ');
-    assert.deepEqual(readEventStream(body), { kind: 'broken', text: 'a b ' });
-    assert.deepEqual(readEventStream(`${body}data: [DONE]\n\n`), { kind: 'done', text: 'a b ' });
+    assert.deepEqual(readEventStream(body), { kind: StreamEndKind.Broken, text: 'a b ' });
+    assert.deepEqual(readEventStream(`${body}data: [DONE]\n\n`), { kind: StreamEndKind.Done, text: 'a b ' });
     assert.deepEqual(readEventStream(`${body}event: error\ndata: {}\n\n`), {
-      kind: 'problem',
+      kind: StreamEndKind.Problem,
       text: 'a b ',
       problem: '{}',
     });
   });
 
   it('does not call a request "not run" after an attempt that may have run', () => {
-    const refused = (verdict: Verdict): AttemptResult => ({ kind: 'refused', verdict, reason: 'r' });
-    const broken: AttemptResult = { kind: 'broken', detail: 'reset' };
+    const refused = (verdict: Verdict): AttemptResult => ({
+      kind: AttemptKind.Refused,
+      verdict,
+      reason: 'r',
+    });
+    const broken: AttemptResult = { kind: AttemptKind.Broken, detail: 'reset' };
     const notRun = refused(Verdict.DidNotRun);
     assert.equal(outcomeOf([notRun, notRun]), CallOutcome.RefusedNotRun);
     assert.equal(outcomeOf([broken, notRun]), CallOutcome.RefusedMayHaveRun);
     assert.equal(outcomeOf([refused(Verdict.MayHaveRun), notRun]), CallOutcome.RefusedMayHaveRun);
     assert.equal(outcomeOf([notRun, broken]), CallOutcome.NoAnswer);
-    const unreachable: AttemptResult = { kind: 'unreachable', detail: 'refused' };
+    const unreachable: AttemptResult = { kind: AttemptKind.Unreachable, detail: 'refused' };
     assert.equal(outcomeOf([notRun, unreachable]), CallOutcome.RefusedNotRun);
     assert.equal(outcomeOf([broken, unreachable]), CallOutcome.NoAnswer);
     assert.equal(outcomeOf([unreachable]), CallOutcome.NoAnswer);
--- a/packages/demo/src/callers/attempt.ts
+++ b/packages/demo/src/callers/attempt.ts
@@ -6,18 +6,27 @@
 import type { DemoOrganisation } from '../place/organisations.ts';
 import { PRICES } from '../place/prices.ts';
 import { scopedIdentity } from './identity.ts';
-import { readEventStream } from './readEventStream.ts';
+import { readEventStream, StreamEndKind } from './readEventStream.ts';
 import type { Work } from './work.ts';
 
+/** How one attempt on one router ended. */
+export enum AttemptKind {
+  Answered = 'answered',
+  Wrong = 'wrong',
+  Refused = 'refused',
+  Unreachable = 'unreachable',
+  Broken = 'broken',
+}
+
 /** What one attempt on one router gave. */
 export type AttemptResult =
-  | { readonly kind: 'answered' }
-  | { readonly kind: 'wrong'; readonly detail: string }
-  | { readonly kind: 'refused'; readonly verdict: Verdict; readonly reason: string }
+  | { readonly kind: AttemptKind.Answered }
+  | { readonly kind: AttemptKind.Wrong; readonly detail: string }
+  | { readonly kind: AttemptKind.Refused; readonly verdict: Verdict; readonly reason: string }
   /** The connection was refused, so nothing was sent in this attempt. */
-  | { readonly kind: 'unreachable'; readonly detail: string }
+  | { readonly kind: AttemptKind.Unreachable; readonly detail: string }
   /** No answer and no verdict: the request may have reached the router. */
-  | { readonly kind: 'broken'; readonly detail: string };
+  | { readonly kind: AttemptKind.Broken; readonly detail: string };
 
 const ATTEMPT_TIMEOUT_MS = 5_000;
 const REDIRECT_STATUS = 307;
@@ -33,7 +42,7 @@
     return await follow(dispatcher, `http://${address}${work.path}`, organisation, work);
   } catch (error) {
     const detail = error instanceof Error ? error.message : String(error);
-    return { kind: isConnectionRefused(error) ? 'unreachable' : 'broken', detail };
+    return { kind: isConnectionRefused(error) ? AttemptKind.Unreachable : AttemptKind.Broken, detail };
   }
 }
 
@@ -57,7 +66,7 @@
     const location = response.headers.location;
     url = new URL(typeof location === 'string' ? location : '', url).href;
   }
-  return { kind: 'broken', detail: `more than ${MAX_REDIRECTS} redirects` };
+  return { kind: AttemptKind.Broken, detail: `more than ${MAX_REDIRECTS} redirects` };
 }
 
 function send(
@@ -91,16 +100,19 @@
 function judgeChat(body: string, organisation: DemoOrganisation, work: Work): AttemptResult {
   const end = readEventStream(body);
   switch (end.kind) {
-    case 'problem':
+    case StreamEndKind.Problem:
       return readProblem(end.problem, 'error event');
-    case 'broken':
-      return { kind: 'broken', detail: 'the stream ended without its end mark' };
-    case 'done': {
+    case StreamEndKind.Broken:
+      return { kind: AttemptKind.Broken, detail: 'the stream ended without its end mark' };
+    case StreamEndKind.Done: {
       const identity = scopedIdentity(organisation.organisationId, work.key);
       const tokens = expectedOutputTokens(identity, PRICES.maxOutputTokens);
       return end.text === expectedAnswer(identity, tokens)
-        ? { kind: 'answered' }
-        : { kind: 'wrong', detail: `text "${end.text.slice(0, 60)}" is not the answer to this request` };
+        ? { kind: AttemptKind.Answered }
+        : {
+            kind: AttemptKind.Wrong,
+            detail: `text "${end.text.slice(0, 60)}" is not the answer to this request`,
+          };
     }
   }
 }
@@ -108,8 +120,8 @@
 function judgeService(body: string, organisation: DemoOrganisation, work: Work): AttemptResult {
   const answer = parseObject(body);
   return answer?.key === scopedIdentity(organisation.organisationId, work.key)
-    ? { kind: 'answered' }
-    : { kind: 'wrong', detail: `body "${body.slice(0, 80)}" is not the answer to this request` };
+    ? { kind: AttemptKind.Answered }
+    : { kind: AttemptKind.Wrong, detail: `body "${body.slice(0, 80)}" is not the answer to this request` };
 }
 
 function readProblem(text: string, fallback: string): AttemptResult {
@@ -117,8 +129,8 @@
   const verdict = Object.values(Verdict).find((candidate) => candidate === problem?.verdict);
   const reason = typeof problem?.reason === 'string' ? problem.reason : fallback;
   return verdict === undefined
-    ? { kind: 'broken', detail: `${fallback} without a verdict` }
-    : { kind: 'refused', verdict, reason };
+    ? { kind: AttemptKind.Broken, detail: `${fallback} without a verdict` }
+    : { kind: AttemptKind.Refused, verdict, reason };
 }
 
 function parseObject(text: string): Record<string, unknown> | undefined {
--- a/packages/demo/src/callers/caller.ts
+++ b/packages/demo/src/callers/caller.ts
@@ -6,7 +6,7 @@
 import type { DemoOrganisation } from '../place/organisations.ts';
 import type { Place } from '../place/places.ts';
 import type { AttemptResult } from './attempt.ts';
-import { attemptWork } from './attempt.ts';
+import { AttemptKind, attemptWork } from './attempt.ts';
 import type { EntryCache } from './entryCache.ts';
 import type { Work } from './work.ts';
 import { nextWork } from './work.ts';
@@ -64,7 +64,7 @@
     outcome: outcomeOf(results),
     detail: results.map(detailOf).join('; '),
     attemptCount: results.length,
-    brokenCount: results.filter(({ kind }) => kind === 'broken').length,
+    brokenCount: results.filter(({ kind }) => kind === AttemptKind.Broken).length,
   };
 }
 
@@ -76,10 +76,10 @@
   );
   const address = byFailure[0];
   if (address === undefined) {
-    return { kind: 'unreachable', detail: 'no router gives an entry answer' };
+    return { kind: AttemptKind.Unreachable, detail: 'no router gives an entry answer' };
   }
   const result = await attemptWork(setup.dispatcher, address, setup.organisation, work);
-  if (result.kind !== 'answered') {
+  if (result.kind !== AttemptKind.Answered) {
     failedAddresses.push(address);
   }
   return result;
@@ -87,19 +87,19 @@
 
 function mayTryAgain(results: readonly AttemptResult[]): boolean {
   const last = results.at(-1);
-  const limit = last?.kind === 'broken' ? MAX_ATTEMPTS + MAX_EXTRA_ATTEMPTS : MAX_ATTEMPTS;
+  const limit = last?.kind === AttemptKind.Broken ? MAX_ATTEMPTS + MAX_EXTRA_ATTEMPTS : MAX_ATTEMPTS;
   return results.length < limit && !isFinal(last);
 }
 
 function isFinal(result: AttemptResult | undefined): boolean {
   switch (result?.kind) {
-    case 'answered':
-    case 'wrong':
+    case AttemptKind.Answered:
+    case AttemptKind.Wrong:
       return true;
-    case 'refused':
+    case AttemptKind.Refused:
       return result.reason === BUDGET_REASON;
-    case 'unreachable':
-    case 'broken':
+    case AttemptKind.Unreachable:
+    case AttemptKind.Broken:
     case undefined:
       return false;
   }
@@ -110,19 +110,21 @@
  * that reached no router change nothing about the request, so the last verdict stays true.
  */
 export function outcomeOf(results: readonly AttemptResult[]): CallOutcome {
-  const informative = results.filter(({ kind }) => kind !== 'unreachable');
+  const informative = results.filter(({ kind }) => kind !== AttemptKind.Unreachable);
   const last = informative.at(-1);
   switch (last?.kind) {
-    case 'answered':
+    case AttemptKind.Answered:
       return CallOutcome.Answered;
-    case 'wrong':
+    case AttemptKind.Wrong:
       return CallOutcome.WrongAnswer;
-    case 'refused':
-      return informative.every((result) => result.kind === 'refused' && result.verdict === Verdict.DidNotRun)
+    case AttemptKind.Refused:
+      return informative.every(
+        (result) => result.kind === AttemptKind.Refused && result.verdict === Verdict.DidNotRun,
+      )
         ? CallOutcome.RefusedNotRun
         : CallOutcome.RefusedMayHaveRun;
-    case 'unreachable':
-    case 'broken':
+    case AttemptKind.Unreachable:
+    case AttemptKind.Broken:
     case undefined:
       return CallOutcome.NoAnswer;
   }
@@ -130,13 +132,13 @@
 
 function detailOf(result: AttemptResult): string {
   switch (result.kind) {
-    case 'refused':
+    case AttemptKind.Refused:
       return `${result.verdict} ${result.reason}`;
-    case 'wrong':
-    case 'unreachable':
-    case 'broken':
+    case AttemptKind.Wrong:
+    case AttemptKind.Unreachable:
+    case AttemptKind.Broken:
       return result.detail;
-    case 'answered':
+    case AttemptKind.Answered:
       return 'answered';
   }
 }
--- a/packages/demo/src/callers/readEventStream.ts
+++ b/packages/demo/src/callers/readEventStream.ts
@@ -1,8 +1,15 @@
+/** How a chat stream ended for its caller. */
+export enum StreamEndKind {
+  Done = 'done',
+  Problem = 'problem',
+  Broken = 'broken',
+}
+
 /** The end of a chat stream as a caller sees it. */
 export type StreamEnd =
-  | { readonly kind: 'done'; readonly text: string }
-  | { readonly kind: 'problem'; readonly text: string; readonly problem: string }
-  | { readonly kind: 'broken'; readonly text: string };
+  | { readonly kind: StreamEndKind.Done; readonly text: string }
+  | { readonly kind: StreamEndKind.Problem; readonly text: string; readonly problem: string }
+  | { readonly kind: StreamEndKind.Broken; readonly text: string };
 
 const DONE_MARK = '[DONE]';
 const DATA_PREFIX = 'data: ';
@@ -17,15 +24,15 @@
     } else if (line.startsWith(DATA_PREFIX)) {
       const data = line.slice(DATA_PREFIX.length);
       if (isError) {
-        return { kind: 'problem', text, problem: data };
+        return { kind: StreamEndKind.Problem, text, problem: data };
       }
       if (data === DONE_MARK) {
-        return { kind: 'done', text };
+        return { kind: StreamEndKind.Done, text };
       }
       text += textOf(data);
     }
   }
-  return { kind: 'broken', text };
+  return { kind: StreamEndKind.Broken, text };
 }
 
 interface CompletionChunk {
