--- a/packages/bench/src/routing/routerView.ts
+++ b/packages/bench/src/routing/routerView.ts
@@ -1,5 +1,5 @@
-import type { EngineCandidate, RandomSource, UpstreamInfo } from '@pimentostall/core';
-import { PrefixMemory } from '@pimentostall/core';
+import type { EngineCandidate, RandomSource } from '@pimentostall/core';
+import { createUpstreamInfo } from '@pimentostall/core';
 import type { Chooser } from './choosers.ts';
 import { createChooser } from './choosers.ts';
 import type { EngineHost } from './engineHost.ts';
@@ -17,19 +17,7 @@
     maxConcurrent: MAX_CONCURRENT,
     honoursFencing: true,
   };
-  const info: UpstreamInfo = {
-    address,
-    ownInFlightCount: 0,
-    load: undefined,
-    loadReadAtMs: 0,
-    leaving: false,
-    leavingSeenAtMs: -Infinity,
-    consecutiveFailures: 0,
-    ejectionsInRow: 0,
-    ejectedUntilMs: 0,
-    prefixes: new PrefixMemory(),
-  };
-  return { engine, info };
+  return { engine, info: createUpstreamInfo(address) };
 }
 
 /** One router's own knowledge of the engines: what it sent, the reports that it read, the prefixes that it saw. */
--- a/packages/bench/src/slopes/measureRouting.ts
+++ b/packages/bench/src/slopes/measureRouting.ts
@@ -1,7 +1,6 @@
 import type { EngineSection } from '@pimentostall/core';
-import { EffectKind, EventKind, seededRandom } from '@pimentostall/core';
+import { createUpstreamInfo, EffectKind, EventKind, seededRandom } from '@pimentostall/core';
 import { chooseEngine } from '../../../core/src/routing/chooseEngine.ts';
-import { PrefixMemory } from '../../../core/src/routing/prefixMemory.ts';
 import type { UpstreamInfo } from '../../../core/src/routing/types.ts';
 import { configure, engineSections } from './configurationModel.ts';
 import { DrivenRouter } from './drivenRouter.ts';
@@ -22,16 +21,9 @@
 
 function upstreamOf(engine: EngineSection, index: number): UpstreamInfo {
   return {
-    address: engine.address,
+    ...createUpstreamInfo(engine.address),
     ownInFlightCount: index % 5,
     load: { runningCount: index % 7, queuedCount: 0, leaving: false, ageMs: 100, cachedPrefixHashes: [] },
-    loadReadAtMs: 0,
-    leaving: false,
-    leavingSeenAtMs: -Infinity,
-    consecutiveFailures: 0,
-    ejectedUntilMs: 0,
-    ejectionsInRow: 0,
-    prefixes: new PrefixMemory(),
   };
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 } from './configuration/storedRows.ts';
 export type { EngineCandidate, EngineChoice, EngineChoiceRequest } from './routing/chooseEngine.ts';
 export { chooseEngine, EngineChoiceKind } from './routing/chooseEngine.ts';
+export { createUpstreamInfo } from './routing/createUpstreamInfo.ts';
 export { prefixHashes } from './routing/prefixHashes.ts';
 export { PrefixMemory } from './routing/prefixMemory.ts';
 export type { UpstreamInfo } from './routing/types.ts';
--- a/packages/core/src/routing/__tests__/chooseEngine.test.ts
+++ b/packages/core/src/routing/__tests__/chooseEngine.test.ts
@@ -3,6 +3,7 @@
 import type { EngineCandidate, EngineChoiceRequest } from '../chooseEngine.ts';
 import { EngineChoiceKind, chooseEngine } from '../chooseEngine.ts';
 import { PrefixMemory } from '../prefixMemory.ts';
+import { createUpstreamInfo } from '../createUpstreamInfo.ts';
 import { prefixHashes } from '../prefixHashes.ts';
 import type { UpstreamInfo } from '../types.ts';
 
@@ -21,19 +22,7 @@
     maxConcurrent: 8,
     honoursFencing: true,
   };
-  const info = {
-    address,
-    ownInFlightCount: 0,
-    load: undefined,
-    loadReadAtMs: 0,
-    leaving: false,
-    leavingSeenAtMs: -Infinity,
-    consecutiveFailures: 0,
-    ejectionsInRow: 0,
-    ejectedUntilMs: 0,
-    prefixes: new PrefixMemory(),
-    ...change,
-  };
+  const info = { ...createUpstreamInfo(address), ...change };
   return { engine, info };
 }
 
--- a/packages/core/src/routing/upstreams.ts
+++ b/packages/core/src/routing/upstreams.ts
@@ -1,7 +1,7 @@
 import type { CoreContext } from '../context.ts';
 import { ServiceKind } from '../types/configuration.ts';
 import { VmRole, VmState } from '../types/membership.ts';
-import { PrefixMemory } from './prefixMemory.ts';
+import { createUpstreamInfo } from './createUpstreamInfo.ts';
 import type { UpstreamInfo } from './types.ts';
 
 /** Failures often end within a second; ejecting for 10 s at once cost a third of the capacity in bench:overload. */
@@ -12,18 +12,7 @@
   const { upstreams } = context.board.routing;
   let info = upstreams.get(address);
   if (info === undefined) {
-    info = {
-      address,
-      ownInFlightCount: 0,
-      load: undefined,
-      loadReadAtMs: 0,
-      leaving: false,
-      leavingSeenAtMs: -Infinity,
-      consecutiveFailures: 0,
-      ejectionsInRow: 0,
-      ejectedUntilMs: 0,
-      prefixes: new PrefixMemory(),
-    };
+    info = createUpstreamInfo(address);
     upstreams.set(address, info);
   }
   return info;
