Settle again right after a pause, and repeat the request for it while an answer waits

The trace: the router woke after a pause, its open table call had timed out during the pause and was taken for a store that is away, so no synchronisation started for 1 s; its only peer had exited, and heartbeats queued during the pause made it look live; the answer was completed after 300 ms and the router died.

--- a/packages/core/src/money/reservations.ts
+++ b/packages/core/src/money/reservations.ts
@@ -82,11 +82,17 @@
   if (sent) {
     yield* waitUntilSafe(context, record, startedAtMs + options.reservationCopyWaitMs);
   }
-  if (pageIsFull || !isSafe(context, recordKey(record))) {
-    // The peers that look live may be gone, so the table is asked before the wait is over.
+  if (pageIsFull) {
     board.money.drawRequests.push(record.organisationId);
   }
-  yield* waitUntilSafe(context, record, startedAtMs + options.usageCopyWaitMs);
+  // The peers that look live may be gone, so the table is asked before the wait is over. A request that meets a
+  // running synchronisation has no effect, so it is repeated.
+  const deadlineMs = startedAtMs + options.usageCopyWaitMs;
+  while (!isSafe(context, recordKey(record)) && context.clock.monotonicMs < deadlineMs) {
+    board.money.drawRequests.push(record.organisationId);
+    const nextMs = context.clock.monotonicMs + options.reservationCopyWaitMs;
+    yield* waitUntilSafe(context, record, Math.min(deadlineMs, nextMs));
+  }
 }
 
 /** Usage above the reservation is not charged: the budget was only asked for the reserved amount. */
--- a/packages/core/src/money/syncOrganisation.ts
+++ b/packages/core/src/money/syncOrganisation.ts
@@ -36,12 +36,15 @@
     return;
   }
   ledger.busy = true;
+  const { pauseCount } = context.board.money;
   try {
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       const step = yield* syncOnce(context, organisationId);
       ledger.reachable = step !== SyncStep.Unreachable;
       if (step !== SyncStep.Conflict) {
-        const unreachable = step === SyncStep.Unreachable;
+        // A call that a pause of this process cut short says nothing of the store.
+        const paused = context.board.money.pauseCount !== pauseCount;
+        const unreachable = step === SyncStep.Unreachable && !paused;
         ledger.retryAtMs = unreachable
           ? context.clock.monotonicMs + context.options.shareCheckIntervalMs
           : context.clock.monotonicMs;
