Wait for a call's reply in one place, and know an address's region and the pause limit in one place

Change: awaitReply in context.ts, regionOf in fleet.ts, World.pauseLimitMs. Behaviour of the matrix is the same.

--- a/packages/core/src/context.ts
+++ b/packages/core/src/context.ts
@@ -1,6 +1,7 @@
 import type { Blackboard } from './blackboard.ts';
-import type { Channel } from './scheduler/channel.ts';
+import { Channel } from './scheduler/channel.ts';
 import type { Task } from './scheduler/task.ts';
+import { receive } from './scheduler/task.ts';
 import type { Effect } from './types/effects.ts';
 import type { ConfigurationParser } from './types/configuration.ts';
 import type { StepClock } from './types/events.ts';
@@ -34,3 +35,13 @@
     registry.delete(key);
   }
 }
+
+/** Waits for the reply of one call; undefined if none came before the deadline. */
+export function* awaitReply<T>(
+  registry: Map<string, Channel<T>>,
+  callId: string,
+  deadlineMs: number,
+): Task<T | undefined> {
+  const channel = new Channel<T>();
+  return yield* withChannel(registry, callId, channel, receive(channel, deadlineMs));
+}
--- a/packages/core/src/membership/membershipController.ts
+++ b/packages/core/src/membership/membershipController.ts
@@ -1,16 +1,11 @@
-import { withChannel } from '../context.ts';
+import { awaitReply } from '../context.ts';
 import type { CoreContext } from '../context.ts';
-import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
-import { receive, sleepUntil } from '../scheduler/task.ts';
+import { sleepUntil } from '../scheduler/task.ts';
 import { EffectKind } from '../types/effects.ts';
-import type { EventOf } from '../blackboard.ts';
-import type { EventKind } from '../types/events.ts';
 import type { VmRow } from '../types/membership.ts';
 import { forgetGonePeers } from './forgetGonePeers.ts';
 
-type MembershipReply = EventOf<EventKind.MembershipReply>;
-
 /** Reads the platform's membership list at an interval. */
 export function* membershipController(context: CoreContext): Task<void> {
   for (;;) {
@@ -26,15 +21,9 @@
 
 function* readMembership(context: CoreContext): Task<readonly VmRow[] | undefined> {
   const callId = context.newId();
-  const channel = new Channel<MembershipReply>();
   context.emit({ kind: EffectKind.MembershipRead, callId });
   const deadlineMs = context.clock.monotonicMs + context.options.tableTimeoutMs;
-  const reply = yield* withChannel(
-    context.board.replies.membershipCalls,
-    callId,
-    channel,
-    receive(channel, deadlineMs),
-  );
+  const reply = yield* awaitReply(context.board.replies.membershipCalls, callId, deadlineMs);
   return reply?.rows;
 }
 
--- a/packages/core/src/orders/callEngine.ts
+++ b/packages/core/src/orders/callEngine.ts
@@ -1,11 +1,7 @@
-import type { EventOf } from '../blackboard.ts';
 import type { CoreContext } from '../context.ts';
-import { withChannel } from '../context.ts';
-import { Channel } from '../scheduler/channel.ts';
+import { awaitReply } from '../context.ts';
 import type { Task } from '../scheduler/task.ts';
-import { receive } from '../scheduler/task.ts';
 import { EffectKind } from '../types/effects.ts';
-import type { EventKind } from '../types/events.ts';
 import type { EngineModels, EngineOrder } from '../types/orders.ts';
 import { EngineOrderOutcome } from '../types/orders.ts';
 
@@ -16,21 +12,19 @@
   order: EngineOrder,
 ): Task<EngineOrderOutcome> {
   const callId = context.newId();
-  const channel = new Channel<EventOf<EventKind.EngineOrdered>>();
   context.emit({ kind: EffectKind.EngineOrder, callId, address, order });
   const deadlineMs = context.clock.monotonicMs + context.options.orderIntervalMs;
   const { engineOrders } = context.board.replies;
-  const reply = yield* withChannel(engineOrders, callId, channel, receive(channel, deadlineMs));
+  const reply = yield* awaitReply(engineOrders, callId, deadlineMs);
   return reply?.outcome ?? EngineOrderOutcome.Unknown;
 }
 
 /** Reads back which models an engine holds; undefined if it does not answer in time. */
 export function* readModels(context: CoreContext, address: string): Task<EngineModels | undefined> {
   const callId = context.newId();
-  const channel = new Channel<EventOf<EventKind.EngineModels>>();
   context.emit({ kind: EffectKind.EngineModelsRead, callId, address });
   const deadlineMs = context.clock.monotonicMs + context.options.orderIntervalMs;
   const { engineModels } = context.board.replies;
-  const reply = yield* withChannel(engineModels, callId, channel, receive(channel, deadlineMs));
+  const reply = yield* awaitReply(engineModels, callId, deadlineMs);
   return reply?.models;
 }
--- a/packages/core/src/routing/probeController.ts
+++ b/packages/core/src/routing/probeController.ts
@@ -1,12 +1,9 @@
-import type { EventOf } from '../blackboard.ts';
 import type { CoreContext } from '../context.ts';
-import { withChannel } from '../context.ts';
+import { awaitReply } from '../context.ts';
 import { wakeQueue } from '../requests/classQueue.ts';
-import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
 import { receive } from '../scheduler/task.ts';
 import { EffectKind } from '../types/effects.ts';
-import type { EventKind } from '../types/events.ts';
 import type { EngineLoad } from '../types/requests.ts';
 import {
   forgetRemovedUpstreams,
@@ -42,15 +39,9 @@
 
 function* probeEngine(context: CoreContext, address: string): Task<void> {
   const callId = context.newId();
-  const channel = new Channel<EventOf<EventKind.UpstreamProbed>>();
   context.emit({ kind: EffectKind.UpstreamProbe, callId, address });
   const deadlineMs = context.clock.monotonicMs + context.options.probeIntervalMs;
-  const reply = yield* withChannel(
-    context.board.replies.probes,
-    callId,
-    channel,
-    receive(channel, deadlineMs),
-  );
+  const reply = yield* awaitReply(context.board.replies.probes, callId, deadlineMs);
   if (reply?.load !== undefined) {
     applyLoad(context, address, reply.load);
   }
--- a/packages/core/src/table/callTable.ts
+++ b/packages/core/src/table/callTable.ts
@@ -1,27 +1,15 @@
-import { withChannel } from '../context.ts';
+import { awaitReply } from '../context.ts';
 import type { CoreContext } from '../context.ts';
-import { Channel } from '../scheduler/channel.ts';
 import type { Task } from '../scheduler/task.ts';
-import { receive } from '../scheduler/task.ts';
 import type { Effect } from '../types/effects.ts';
 import { EffectKind } from '../types/effects.ts';
-import type { EventOf } from '../blackboard.ts';
-import type { EventKind } from '../types/events.ts';
 import type { TableOutcome, TableRow, TableTransaction } from '../types/table.ts';
 import { TableOutcomeKind } from '../types/table.ts';
 
-type TableReply = EventOf<EventKind.TableReply>;
-
 function* callTable(context: CoreContext, callId: string, effect: Effect): Task<TableOutcome> {
-  const channel = new Channel<TableReply>();
   context.emit(effect);
   const deadlineMs = context.clock.monotonicMs + context.options.tableTimeoutMs;
-  const reply = yield* withChannel(
-    context.board.replies.tableCalls,
-    callId,
-    channel,
-    receive(channel, deadlineMs),
-  );
+  const reply = yield* awaitReply(context.board.replies.tableCalls, callId, deadlineMs);
   return reply?.outcome ?? { kind: TableOutcomeKind.Unknown };
 }
 
--- a/packages/faults/src/executeUpstream.ts
+++ b/packages/faults/src/executeUpstream.ts
@@ -1,8 +1,8 @@
 import type { CoreEvent, Effect, EffectKind, UpstreamRequest } from '@pimentostall/core';
-import { DEFAULT_CORE_OPTIONS, EventKind, UpstreamRequestKind } from '@pimentostall/core';
+import { EventKind, UpstreamRequestKind } from '@pimentostall/core';
 import type { FakeEngine, FakeStream } from './fakes/fakeEngine.ts';
 import { tokenText } from './fakes/fakeEngine.ts';
-import { FAR_REGION, NEAR_REGION } from './fleet.ts';
+import { NEAR_REGION, regionOf } from './fleet.ts';
 import type { Host } from './host.ts';
 import { REORDER_DELAY_MS } from './options.ts';
 import type { Fault } from './types.ts';
@@ -27,9 +27,8 @@
   options: ExecuteOptions,
 ): void {
   const { attemptId, address, request, exchangeId } = effect;
-  const pauseLimitMs = world.place.coreOptions.pauseLimitMs ?? DEFAULT_CORE_OPTIONS.pauseLimitMs;
-  const paused = world.nowMs - host.steppedAtMs > pauseLimitMs;
-  const upstreamRegion = address.startsWith('127.2.') ? FAR_REGION : NEAR_REGION;
+  const paused = world.nowMs - host.steppedAtMs > world.pauseLimitMs;
+  const upstreamRegion = regionOf(address);
   const cut = world.isCut(host.identity.region, upstreamRegion);
   if ((paused && !options.ignorePause) || cut) {
     const detail = paused ? 'The process was paused before the request was sent.' : 'connect failed';
@@ -195,7 +194,7 @@
   const lateMs = fault?.kind === FaultKind.Reorder && index % 3 === 1 ? REORDER_DELAY_MS : 0;
   const cancelled = (): boolean =>
     stream.cancelledAtMs !== undefined && stream.cancelledAtMs < world.nowMs - exchange.latencyMs;
-  const upstreamRegion = exchange.address.startsWith('127.2.') ? FAR_REGION : NEAR_REGION;
+  const upstreamRegion = regionOf(exchange.address);
   world.after(delayMs + lateMs, () => {
     if (!cancelled()) {
       world.meterLink(host.identity.region, upstreamRegion, event);
@@ -228,7 +227,7 @@
 export function probe(world: World, host: Host, effect: EffectOf<EffectKind.UpstreamProbe>): void {
   const { address, callId } = effect;
   const engine = world.engines.get(address);
-  const upstreamRegion = address.startsWith('127.2.') ? FAR_REGION : NEAR_REGION;
+  const upstreamRegion = regionOf(address);
   const reachable = engine !== undefined && !world.isCut(host.identity.region, upstreamRegion);
   const load = reachable
     ? {
--- a/packages/faults/src/fleet.ts
+++ b/packages/faults/src/fleet.ts
@@ -4,6 +4,11 @@
 export const NEAR_REGION = 'near';
 export const FAR_REGION = 'far';
 
+/** Addresses that start with 127.2. lie in the far region. */
+export function regionOf(address: string): string {
+  return address.startsWith('127.2.') ? FAR_REGION : NEAR_REGION;
+}
+
 export const ENGINE_ADDRESSES = ['127.1.0.31:8400', '127.1.0.32:8400', '127.2.0.31:8400'] as const;
 export const LEAVING_ENGINE_ADDRESS = ENGINE_ADDRESSES[1];
 /** One engine ignores fencing numbers, as some do. */
--- a/packages/faults/src/world.ts
+++ b/packages/faults/src/world.ts
@@ -1,5 +1,12 @@
 import type { CoreEvent, Effect, RouterIdentity, VmRow } from '@pimentostall/core';
-import { EventKind, RouterCore, VmRole, VmState, seededRandom } from '@pimentostall/core';
+import {
+  DEFAULT_CORE_OPTIONS,
+  EventKind,
+  RouterCore,
+  VmRole,
+  VmState,
+  seededRandom,
+} from '@pimentostall/core';
 import { parseConfigurationSections } from '@pimentostall/settings';
 import { TableStore } from '@pimentostall/standins';
 import { EventQueue } from './eventQueue.ts';
@@ -7,7 +14,7 @@
 import { FakeEngine } from './fakes/fakeEngine.ts';
 import { FakeService } from './fakes/fakeService.ts';
 import type { FaultPlan } from './faultPlan.ts';
-import { FAR_REGION, NEAR_REGION, OPERATOR_KEY_SHA256 } from './fleet.ts';
+import { OPERATOR_KEY_SHA256, regionOf } from './fleet.ts';
 import type { Host } from './host.ts';
 import { createHost } from './host.ts';
 import { FAR_LATENCY_MS, MAX_STEP_GAP_MS, MEMBER_LAG_MS, NEAR_LATENCY_MS } from './options.ts';
@@ -152,6 +159,11 @@
     return a === b ? NEAR_LATENCY_MS : FAR_LATENCY_MS;
   }
 
+  /** The limit that the routers of this world have in force. */
+  get pauseLimitMs(): number {
+    return this.place.coreOptions.pauseLimitMs ?? DEFAULT_CORE_OPTIONS.pauseLimitMs;
+  }
+
   get memberRows(): readonly VmRow[] {
     return this.members;
   }
@@ -382,13 +394,13 @@
 }
 
 function upstreamRow(address: string, role: VmRole): VmRow {
-  const far = address.startsWith('127.2.');
+  const region = regionOf(address);
   return {
     vmId: `vm-${address}`,
     address,
     role,
     state: VmState.Live,
-    region: far ? FAR_REGION : NEAR_REGION,
-    availabilityZone: far ? 'far-a' : 'near-a',
+    region,
+    availabilityZone: `${region}-a`,
   };
 }
