--- /dev/null
+++ b/packages/gateway/src/blackboard.ts
@@ -0,0 +1,50 @@
+import type { LedgerAccount } from './money/ledgerController.ts';
+import type { UpstreamView } from './placement/upstreamView.ts';
+import type { RetryBudget } from './retries/retryBudget.ts';
+import type { RouteTable } from './routing/routeTable.ts';
+import type { GatewayConfiguration, RouterEntry } from './types.ts';
+
+/** What the platform's register shows of the other routers, with the time at which each row last changed here. */
+export interface RouterView {
+  readonly entry: RouterEntry;
+  readonly changedAtMs: number;
+}
+
+/** State that more than one controller needs. Each section is written by the module that defines its type. */
+export interface GatewayBoard {
+  configuration: GatewayConfiguration | undefined;
+  routeTable: RouteTable | undefined;
+  /** Organisation name by key. */
+  organisationByKey: ReadonlyMap<string, string>;
+  /** Known upstreams by id, ready or not. */
+  readonly upstreams: Map<string, UpstreamView>;
+  readonly routers: Map<string, RouterView>;
+  readonly accounts: Map<string, LedgerAccount>;
+  readonly retryBudgets: Map<string, RetryBudget>;
+  /** True from the stop signal on. */
+  draining: boolean;
+  drainStartedMs: number;
+  /** Ends the controllers. */
+  stopped: boolean;
+  /** Requests that are read and not answered. */
+  openRequests: number;
+  /** Monotonic time of the last reply of the store; undefined before the first. */
+  storeHeardMs: number | undefined;
+}
+
+export function createBoard(): GatewayBoard {
+  return {
+    configuration: undefined,
+    routeTable: undefined,
+    organisationByKey: new Map(),
+    upstreams: new Map(),
+    routers: new Map(),
+    accounts: new Map(),
+    retryBudgets: new Map(),
+    draining: false,
+    drainStartedMs: Infinity,
+    stopped: false,
+    openRequests: 0,
+    storeHeardMs: undefined,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/http/callerServer.ts
@@ -0,0 +1,167 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import { Channel } from '@pimentostall/core';
+import type { GatewayContext } from '../context.ts';
+import type { CallerExchange, OwnAnswer, RequestEvent, RequestHead } from '../requests/ports.ts';
+import { RequestEventKind } from '../requests/ports.ts';
+import { serveRequest } from '../requests/serveRequest.ts';
+import type { IngressLimits } from '../types.ts';
+import type { WireCodec } from './wireCodec.ts';
+
+/** Limits until a configuration states them. */
+const INITIAL_LIMITS: IngressLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+/** How often Node looks for connections whose header is late. */
+const CONNECTION_CHECK_MS = 1_000;
+/** Kept beyond the stated idle time, so that a request that a caller sends at its end is still read. */
+const IDLE_MARGIN_MS = 1_000;
+/** Longest header section that Node parses; the limit in force is checked on each request. */
+const PARSER_HEADER_BYTES = 65_536;
+
+/** Accepts callers' requests, reads them whole and hands each to a task of its own. */
+export class CallerServer {
+  readonly server: Server;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly codec: WireCodec,
+  ) {
+    this.server = createServer(
+      {
+        keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
+        maxHeaderSize: PARSER_HEADER_BYTES,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
+        // The body has no time limit of its own; the request's deadline bounds it.
+        requestTimeout: 0,
+        requireHostHeader: false,
+      },
+      (request, response) => {
+        this.accept(request, response);
+      },
+    );
+    this.server.headersTimeout = INITIAL_LIMITS.headerTimeoutMs;
+    this.server.on('clientError', (cause: NodeJS.ErrnoException, socket) => {
+      const status = cause.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
+      if (socket.writable && cause.code !== 'ECONNRESET' && !isAnswering(socket)) {
+        socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+      } else {
+        socket.destroy();
+      }
+    });
+  }
+
+  /** Takes over the operator's limits; connections that are open keep the idle time that they were told. */
+  applyLimits(limits: IngressLimits): void {
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+  }
+
+  private accept(message: IncomingMessage, response: ServerResponse): void {
+    const arrivedMs = this.context.loop.nowMs();
+    const limits = this.context.board.configuration?.limits ?? INITIAL_LIMITS;
+    const head = this.codec.decodeRequest(message);
+    const exchange = new HttpExchange(this.context, this.codec, head, response, arrivedMs);
+    openExchanges.add(message.socket);
+    response.on('close', () => {
+      openExchanges.delete(message.socket);
+      exchange.closed();
+    });
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    message.on('data', (chunk: Buffer) => {
+      sizeBytes += chunk.length;
+      if (sizeBytes <= limits.maxBodyBytes) {
+        chunks.push(chunk);
+      } else if (!response.headersSent) {
+        refuseBody(response);
+      }
+    });
+    message.on('end', () => {
+      if (sizeBytes <= limits.maxBodyBytes && !exchange.isGone()) {
+        exchange.body = chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+        this.context.loop.spawn('request', serveRequest(this.context, exchange));
+      }
+    });
+    message.on('error', () => {
+      // The connection broke while the body was read; nothing ran, and nobody is left to answer.
+      exchange.closed();
+    });
+  }
+}
+
+/** Sockets with a request that is not answered yet: an error answer in between would belong to another request. */
+const openExchanges = new WeakSet<object>();
+
+function isAnswering(socket: object): boolean {
+  return openExchanges.has(socket);
+}
+
+function refuseBody(response: ServerResponse): void {
+  response.writeHead(413, { Connection: 'close', 'Content-Length': 0 });
+  response.end();
+}
+
+class HttpExchange implements CallerExchange {
+  readonly events = new Channel<RequestEvent>();
+  body: Buffer = Buffer.alloc(0);
+  private gone = false;
+  private finished = false;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly codec: WireCodec,
+    readonly head: RequestHead,
+    private readonly response: ServerResponse,
+    readonly arrivedMs: number,
+  ) {}
+
+  isGone(): boolean {
+    return this.gone;
+  }
+
+  /** The connection closed; only a close before the end of the answer concerns the request. */
+  closed(): void {
+    if (!this.gone && !this.finished) {
+      this.gone = true;
+      this.context.loop.push(this.events, { kind: RequestEventKind.CallerGone });
+    }
+  }
+
+  start(status: number, headers: readonly string[]): void {
+    this.writeHead(status, headers);
+  }
+
+  write(data: Buffer, onWritable: () => void): boolean {
+    const writable = this.response.write(data);
+    if (!writable) {
+      this.response.once('drain', onWritable);
+    }
+    return writable;
+  }
+
+  end(): void {
+    this.finished = true;
+    this.response.end();
+  }
+
+  abort(): void {
+    this.finished = true;
+    this.response.destroy();
+  }
+
+  answer(answer: OwnAnswer): void {
+    const encoded = this.codec.encodeOwnAnswer(answer);
+    this.writeHead(encoded.status, encoded.headers);
+    this.finished = true;
+    this.response.end(encoded.body);
+  }
+
+  private writeHead(status: number, headers: readonly string[]): void {
+    const closing = this.context.board.draining ? ['Connection', 'close'] : [];
+    this.response.writeHead(status, [...headers, ...closing]);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/http/index.ts
@@ -0,0 +1,4 @@
+export { CallerServer } from './callerServer.ts';
+export type { UpstreamConnectionOptions } from './upstreamConnections.ts';
+export { UpstreamConnections } from './upstreamConnections.ts';
+export type { EncodedAnswer, WireCodec } from './wireCodec.ts';
--- /dev/null
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -0,0 +1,159 @@
+import type { Dispatcher } from 'undici';
+import { errors, Pool } from 'undici';
+import type { RequestEvent, UpstreamCall, UpstreamPort, UpstreamRequest } from '../requests/ports.ts';
+import { RequestEventKind } from '../requests/ports.ts';
+import type { UpstreamEntry } from '../types.ts';
+import type { WireCodec } from './wireCodec.ts';
+
+export interface UpstreamConnectionOptions {
+  /** Time for a connection to open; upstreams answer within a region's delay. */
+  readonly connectTimeoutMs: number;
+  /** Idle time after which a connection is closed if the upstream states none. */
+  readonly idleTimeoutMs: number;
+  /** Connections are closed this long before the idle time that the upstream states. */
+  readonly idleMarginMs: number;
+  /** Connections of this router to one upstream of a service. */
+  connectionLimit(serviceName: string): number;
+}
+
+/** Longest idle time that is believed of an upstream. */
+const MAX_IDLE_TIMEOUT_MS = 60_000;
+
+/** Kept connections to upstreams, one pool for each. */
+export class UpstreamConnections implements UpstreamPort {
+  private readonly pools = new Map<string, Pool>();
+
+  constructor(
+    private readonly codec: WireCodec,
+    private readonly options: UpstreamConnectionOptions,
+  ) {}
+
+  open(
+    upstream: UpstreamEntry,
+    request: UpstreamRequest,
+    attempt: number,
+    report: (event: RequestEvent) => void,
+  ): UpstreamCall {
+    const call = new HttpCall(this.codec, upstream, request, attempt, report);
+    const { method, target } = request.head;
+    this.poolOf(upstream).dispatch(
+      {
+        method: method as Dispatcher.HttpMethod,
+        path: target,
+        headers: this.codec.encodeUpstreamRequest(upstream, request),
+        body: request.body.length === 0 ? null : request.body,
+        // The request's own deadline bounds both.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        // Another request on the connection would wait for a long stream to end.
+        blocking: false,
+      },
+      call,
+    );
+    return call;
+  }
+
+  forget(upstreamId: string): void {
+    const pool = this.pools.get(upstreamId);
+    this.pools.delete(upstreamId);
+    // `close` waits for open requests; a failure only means that the pool is closed already.
+    pool?.close().catch(() => undefined);
+  }
+
+  private poolOf(upstream: UpstreamEntry): Pool {
+    const known = this.pools.get(upstream.upstreamId);
+    if (known !== undefined) {
+      return known;
+    }
+    const { connectTimeoutMs, idleTimeoutMs, idleMarginMs } = this.options;
+    const pool = new Pool(`http://${upstream.address}`, {
+      connections: this.options.connectionLimit(upstream.serviceName),
+      pipelining: 1,
+      connect: { timeout: connectTimeoutMs },
+      keepAliveTimeout: idleTimeoutMs,
+      keepAliveTimeoutThreshold: idleMarginMs,
+      keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
+    });
+    this.pools.set(upstream.upstreamId, pool);
+    return pool;
+  }
+}
+
+/** One request on a connection; turns undici's callbacks into events. */
+class HttpCall implements UpstreamCall, Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+  private cancelled = false;
+  private discarding = false;
+
+  constructor(
+    private readonly codec: WireCodec,
+    private readonly upstream: UpstreamEntry,
+    private readonly request: UpstreamRequest,
+    private readonly attempt: number,
+    private readonly report: (event: RequestEvent) => void,
+  ) {}
+
+  cancel(): void {
+    this.cancelled = true;
+    this.controller?.abort(new errors.RequestAbortedError());
+  }
+
+  discard(): void {
+    this.discarding = true;
+    this.controller?.resume();
+  }
+
+  pause(): void {
+    this.controller?.pause();
+  }
+
+  resume(): void {
+    this.controller?.resume();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.cancelled) {
+      controller.abort(new errors.RequestAbortedError());
+      return;
+    }
+    this.report({ kind: RequestEventKind.UpstreamSent, attempt: this.attempt });
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    if (this.silenced || status < 200) {
+      return;
+    }
+    const { rawHeaders } = controller as { rawHeaders?: readonly (Buffer | string)[] | null };
+    const headers = (rawHeaders ?? []).map((part) => (typeof part === 'string' ? part : part.toString('latin1')));
+    const head = this.codec.decodeUpstreamHead(this.request, this.upstream, status, headers);
+    this.report({ kind: RequestEventKind.UpstreamHead, attempt: this.attempt, head });
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, data: Buffer): void {
+    if (!this.silenced) {
+      this.report({ kind: RequestEventKind.UpstreamData, attempt: this.attempt, data });
+    }
+  }
+
+  onResponseEnd(): void {
+    if (!this.silenced) {
+      this.report({ kind: RequestEventKind.UpstreamEnd, attempt: this.attempt });
+    }
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController | undefined, cause: Error): void {
+    if (!this.silenced) {
+      this.report({ kind: RequestEventKind.UpstreamFailed, attempt: this.attempt, detail: describe(cause) });
+    }
+  }
+
+  private get silenced(): boolean {
+    return this.cancelled || this.discarding;
+  }
+}
+
+function describe(cause: Error): string {
+  const { code } = cause as NodeJS.ErrnoException;
+  return code === undefined ? cause.message : `${code}: ${cause.message}`;
+}
--- /dev/null
+++ b/packages/gateway/src/http/wireCodec.ts
@@ -0,0 +1,23 @@
+import type { IncomingMessage } from 'node:http';
+import type { OwnAnswer, RequestHead, UpstreamHead, UpstreamRequest } from '../requests/ports.ts';
+import type { UpstreamEntry } from '../types.ts';
+
+export interface EncodedAnswer {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly body: string;
+}
+
+/** Translates between HTTP messages as callers and upstreams spell them and the gateway's types. */
+export interface WireCodec {
+  decodeRequest(message: IncomingMessage): RequestHead;
+  /** Headers of a request to an upstream, as alternating names and values. */
+  encodeUpstreamRequest(upstream: UpstreamEntry, request: UpstreamRequest): string[];
+  decodeUpstreamHead(
+    request: UpstreamRequest,
+    upstream: UpstreamEntry,
+    status: number,
+    rawHeaders: readonly string[],
+  ): UpstreamHead;
+  encodeOwnAnswer(answer: OwnAnswer): EncodedAnswer;
+}
--- /dev/null
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -0,0 +1,213 @@
+import type { Task } from '@pimentostall/core';
+import { Channel, receive } from '@pimentostall/core';
+import type { GatewayBoard } from '../blackboard.ts';
+import type { GatewayContext } from '../context.ts';
+import { LogLevel } from '../observability/log.ts';
+import { OrganisationLedger } from './organisationLedger.ts';
+import type { LedgerChange } from './types.ts';
+import { LedgerOutcomeKind } from './types.ts';
+
+export enum ReserveOutcomeKind {
+  Reserved = 'reserved',
+  /** The rows as read cannot cover the request. */
+  Exhausted = 'exhausted',
+  /** No share is free here now; other routers or running requests may free some. */
+  Short = 'short',
+}
+
+/** Where a request waits for tokens. */
+interface Waiter {
+  readonly tokens: number;
+  readonly woken: Channel<true>;
+}
+
+/** An organisation's ledger with the requests that wait for it and the task that keeps its rows. */
+export interface LedgerAccount {
+  readonly organisationName: string;
+  readonly ledger: OrganisationLedger;
+  readonly wake: Channel<true>;
+  readonly waiters: Set<Waiter>;
+  /** Number of replies of the store, so that a waiter sees that a reply came after it began to wait. */
+  replies: number;
+}
+
+/** Returns the account of an organisation and starts its task at the first use. */
+export function openAccount(context: GatewayContext, organisationName: string): LedgerAccount {
+  const known = context.board.accounts.get(organisationName);
+  if (known !== undefined) {
+    return known;
+  }
+  const account: LedgerAccount = {
+    organisationName,
+    ledger: new OrganisationLedger(context.loop.nowMs()),
+    wake: new Channel<true>(),
+    waiters: new Set(),
+    replies: 0,
+  };
+  context.board.accounts.set(organisationName, account);
+  context.loop.spawn(`ledger ${organisationName}`, keepAccount(context, account));
+  return account;
+}
+
+/** Reserves tokens, drawing from the budget and waiting a bounded time if the share is short. */
+export function* reserveTokens(
+  context: GatewayContext,
+  account: LedgerAccount,
+  tokens: number,
+  waitUntilMs: number,
+): Task<ReserveOutcomeKind> {
+  const { ledger } = account;
+  ledger.recordDemand(tokens, context.loop.nowMs());
+  if (tryReserve(context.board, account, tokens)) {
+    return ReserveOutcomeKind.Reserved;
+  }
+  const waiter: Waiter = { tokens, woken: new Channel<true>() };
+  account.waiters.add(waiter);
+  try {
+    wakeAccount(context, account);
+    const repliesBefore = account.replies;
+    while (context.loop.nowMs() < waitUntilMs) {
+      yield* receive(waiter.woken, waitUntilMs);
+      if (tryReserve(context.board, account, tokens)) {
+        return ReserveOutcomeKind.Reserved;
+      }
+      const budget = budgetOf(context.board, account.organisationName);
+      if (account.replies > repliesBefore && ledger.isExhausted(budget, tokens)) {
+        return ReserveOutcomeKind.Exhausted;
+      }
+    }
+    return ReserveOutcomeKind.Short;
+  } finally {
+    account.waiters.delete(waiter);
+  }
+}
+
+/** Ends a reservation with what was spent, and lets waiting requests try again. */
+export function settleTokens(
+  context: GatewayContext,
+  account: LedgerAccount,
+  reservedTokens: number,
+  spentTokens: number,
+): void {
+  account.ledger.settle(reservedTokens, spentTokens);
+  wakeWaiters(context, account);
+}
+
+function tryReserve(board: GatewayBoard, account: LedgerAccount, tokens: number): boolean {
+  // After a cut of the budget below what is drawn, free tokens are no longer this router's to spend.
+  const overdrawn = account.ledger.rows.total.grantedTokens > budgetOf(board, account.organisationName);
+  return !overdrawn && account.ledger.tryReserve(tokens);
+}
+
+export function budgetOf(board: GatewayBoard, organisationName: string): number {
+  return board.configuration?.organisations.get(organisationName)?.reservedTokens ?? 0;
+}
+
+export function wakeAccount(context: GatewayContext, account: LedgerAccount): void {
+  if (account.wake.size === 0) {
+    context.loop.push(account.wake, true);
+  }
+}
+
+function wakeWaiters(context: GatewayContext, account: LedgerAccount): void {
+  for (const waiter of [...account.waiters]) {
+    if (waiter.woken.size === 0) {
+      context.loop.push(waiter.woken, true);
+    }
+  }
+}
+
+/** Draws, returns and settles: at once when a request waits, otherwise once per period. */
+function* keepAccount(context: GatewayContext, account: LedgerAccount): Task<void> {
+  const { loop, options } = context;
+  let nextMs = loop.nowMs();
+  let failures = 0;
+  while (!context.board.stopped) {
+    const woken = yield* receive(account.wake, nextMs);
+    const change = nextChange(context, account, woken === true);
+    if (change === undefined) {
+      nextMs = loop.nowMs() + options.settlePeriodMs;
+      // Nothing can be drawn now: the waiting requests learn it from the rows.
+      account.replies += 1;
+      wakeWaiters(context, account);
+      continue;
+    }
+    const answered = yield* commit(context, account, change);
+    failures = answered ? 0 : failures + 1;
+    const conflictOrWaiting = answered && account.waiters.size > 0;
+    const backoffMs = Math.min(options.storeBackoffMs * 2 ** failures, options.storeBackoffMaxMs);
+    const delayMs = answered
+      ? conflictOrWaiting
+        ? options.redrawDelayMs
+        : options.settlePeriodMs
+      : backoffMs * (0.5 + context.random());
+    nextMs = loop.nowMs() + delayMs;
+  }
+}
+
+function nextChange(
+  context: GatewayContext,
+  account: LedgerAccount,
+  woken: boolean,
+): LedgerChange | undefined {
+  const { board, loop, options } = context;
+  const needed = [...account.waiters].reduce((sum, { tokens }) => sum + tokens, 0);
+  const neededTokens = needed === 0 ? 0 : Math.max(0, needed - Math.max(0, account.ledger.freeTokens));
+  if (board.draining && !woken) {
+    return account.ledger.planReturn();
+  }
+  return account.ledger.plan(
+    {
+      budgetTokens: budgetOf(board, account.organisationName),
+      neededTokens,
+      routerCount: Math.max(1, board.routers.size),
+      nowMs: loop.nowMs(),
+    },
+    options.sharePlan,
+  );
+}
+
+/** Sends a change, again at once after a conflict; returns false if the store did not answer. */
+function* commit(context: GatewayContext, account: LedgerAccount, first: LedgerChange): Task<boolean> {
+  const { loop, ledgerStore, options } = context;
+  let change: LedgerChange | undefined = first;
+  for (let tries = 0; change !== undefined && tries < options.ledgerConflictTries; tries += 1) {
+    account.ledger.recordSent(change);
+    const outcome = yield* loop.settled(ledgerStore.commit(account.organisationName, change));
+    account.ledger.recordOutcome(change, outcome, loop.nowMs());
+    logOutcome(context, account, change, outcome.kind);
+    switch (outcome.kind) {
+      case LedgerOutcomeKind.Committed:
+        account.replies += 1;
+        wakeWaiters(context, account);
+        return true;
+      case LedgerOutcomeKind.Conflict:
+        account.replies += 1;
+        wakeWaiters(context, account);
+        change = nextChange(context, account, true);
+        break;
+      case LedgerOutcomeKind.Rejected:
+      case LedgerOutcomeKind.Unknown:
+        return false;
+    }
+  }
+  return true;
+}
+
+function logOutcome(
+  context: GatewayContext,
+  account: LedgerAccount,
+  change: LedgerChange,
+  outcome: LedgerOutcomeKind,
+): void {
+  const drawnTokens = change.share.grantedTokens - change.base.share.grantedTokens;
+  context.log(outcome === LedgerOutcomeKind.Unknown ? LogLevel.Warn : LogLevel.Debug, 'budget change', {
+    organisation: account.organisationName,
+    outcome,
+    drawnTokens,
+    baseVersion: change.base.totalVersion,
+    grantedTokens: account.ledger.rows.total.grantedTokens,
+    settledTokens: account.ledger.rows.total.settledTokens,
+    freeTokens: account.ledger.freeTokens,
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/money/planShare.ts
@@ -0,0 +1,58 @@
+import type { BudgetTotal } from './types.ts';
+
+export interface SharePlanOptions {
+  /** Time for which a share lasts at the present demand: a store outage of eight seconds and some growth. */
+  readonly horizonMs: number;
+  /** Part of the money left that all routers together may hold, by their parts of the demand. */
+  readonly heldFraction: number;
+  /** Free tokens above the target by this factor flow back. */
+  readonly returnFactor: number;
+}
+
+export const DEFAULT_SHARE_PLAN: SharePlanOptions = {
+  horizonMs: 12_000,
+  heldFraction: 0.9,
+  returnFactor: 1.6,
+};
+
+export interface SharePlanInput {
+  /** Tokens of the share that are neither spent nor reserved. */
+  readonly freeTokens: number;
+  /** Tokens that waiting requests need beyond what is free. */
+  readonly neededTokens: number;
+  /** Largest reservation seen of late; a share holds at least one of them. */
+  readonly largestRequestTokens: number;
+  /** This router's demand. */
+  readonly demandTokensPerSecond: number;
+  /** This router's part of the organisation's demand, 0 to 1. */
+  readonly demandPart: number;
+  /** The organisation's budget in force. */
+  readonly budgetTokens: number;
+  readonly total: BudgetTotal;
+}
+
+/**
+ * Tokens to draw (positive) or to return (negative). Answers load that runs on while the store is away: a share
+ * lasts for the horizon, but never takes more than this router's part of what is left.
+ */
+export function planShare(input: SharePlanInput, options: SharePlanOptions): number {
+  const { freeTokens, neededTokens, total, budgetTokens } = input;
+  const room = budgetTokens - total.grantedTokens;
+  if (room < 0) {
+    // The budget was cut below what is drawn: what is free goes back first.
+    return -Math.min(freeTokens, -room);
+  }
+  const left = Math.max(0, budgetTokens - total.settledTokens);
+  const horizonTokens = (input.demandTokensPerSecond * options.horizonMs) / 1_000;
+  const wanted = horizonTokens + input.largestRequestTokens;
+  const cap = left * options.heldFraction * input.demandPart;
+  const target = Math.floor(Math.min(wanted, Math.max(cap, 0)));
+  const missing = Math.max(target - freeTokens, 0);
+  const draw = Math.min(Math.max(missing, neededTokens), room);
+  if (draw > 0) {
+    // Requests of the size that is wanted now must fit whole, or the draw strands money without serving any.
+    return draw >= neededTokens ? draw : 0;
+  }
+  const excess = freeTokens - target;
+  return freeTokens > target * options.returnFactor && neededTokens === 0 ? -excess : 0;
+}
--- /dev/null
+++ b/packages/gateway/src/money/types.ts
@@ -0,0 +1,58 @@
+/** An organisation's totals over all routers, as its row in the store holds them. */
+export interface BudgetTotal {
+  /** Tokens debited from the budget: spent by routers or still in their shares. */
+  readonly grantedTokens: number;
+  /** Tokens that routers have reported as spent; the true figure is this or more. */
+  readonly settledTokens: number;
+}
+
+/** What one incarnation of a router has drawn from a budget. */
+export interface ShareRecord {
+  /** Tokens drawn so far, less those returned. */
+  readonly grantedTokens: number;
+  readonly settledTokens: number;
+}
+
+/** Both rows with the versions that a change must expect; version 0 stands for a row that does not exist. */
+export interface LedgerSnapshot {
+  readonly totalVersion: number;
+  readonly total: BudgetTotal;
+  readonly shareVersion: number;
+  readonly share: ShareRecord;
+}
+
+/** One transaction on the two rows. */
+export interface LedgerChange {
+  readonly base: LedgerSnapshot;
+  readonly total: BudgetTotal;
+  readonly share: ShareRecord;
+}
+
+export enum LedgerOutcomeKind {
+  Committed = 'committed',
+  /** The rows had changed; the outcome holds them as they are now. */
+  Conflict = 'conflict',
+  /** The store stated that it did nothing. */
+  Rejected = 'rejected',
+  /** No answer: the change may have been made, or may be made later while its versions hold. */
+  Unknown = 'unknown',
+}
+
+export type LedgerOutcome =
+  | { readonly kind: LedgerOutcomeKind.Committed; readonly rowVersion: number }
+  | { readonly kind: LedgerOutcomeKind.Conflict; readonly snapshot: LedgerSnapshot }
+  | { readonly kind: LedgerOutcomeKind.Rejected; readonly detail: string }
+  | { readonly kind: LedgerOutcomeKind.Unknown; readonly detail: string };
+
+/** Where budgets are kept. */
+export interface LedgerStore {
+  /** Makes a change if both rows still have the versions of its base. Does not reject. */
+  commit(organisationName: string, change: LedgerChange): Promise<LedgerOutcome>;
+}
+
+export const EMPTY_SNAPSHOT: LedgerSnapshot = {
+  totalVersion: 0,
+  total: { grantedTokens: 0, settledTokens: 0 },
+  shareVersion: 0,
+  share: { grantedTokens: 0, settledTokens: 0 },
+};
--- /dev/null
+++ b/packages/gateway/src/observability/log.ts
@@ -0,0 +1,9 @@
+export enum LogLevel {
+  Debug = 'debug',
+  Info = 'info',
+  Warn = 'warn',
+  Error = 'error',
+}
+
+/** Writes one JSON line; must not block. */
+export type Log = (level: LogLevel, message: string, fields: Readonly<Record<string, unknown>>) => void;
--- /dev/null
+++ b/packages/gateway/src/observability/metrics.ts
@@ -0,0 +1,65 @@
+import { HistogramSeries } from '@pimentostall/metrics';
+
+export interface RequestMeasurement {
+  readonly organisation: string;
+  readonly route: string;
+  readonly outcome: string;
+  readonly firstDataMs: number | undefined;
+  readonly totalMs: number;
+}
+
+/** Bounds memory: further organisations and routes share one series. */
+const MAX_SERIES = 4_096;
+const OTHER = 'other';
+const QUANTILES = [0.5, 0.95, 0.99];
+
+/** Histograms per organisation and route, and counters by outcome, served as Prometheus text. */
+export class GatewayMetrics {
+  private readonly firstData = new Map<string, HistogramSeries>();
+  private readonly total = new Map<string, HistogramSeries>();
+  private readonly counters = new Map<string, number>();
+
+  recordRequest(measurement: RequestMeasurement): void {
+    const { organisation, route, outcome, firstDataMs, totalMs } = measurement;
+    const labels = `organisation="${organisation}",route="${route}"`;
+    if (firstDataMs !== undefined) {
+      seriesOf(this.firstData, labels).record(firstDataMs);
+    }
+    seriesOf(this.total, labels).record(totalMs);
+    this.count('pimentostall_requests_total', `${labels},outcome="${outcome}"`);
+  }
+
+  count(name: string, labels = '', amount = 1): void {
+    const key = labels === '' ? name : `${name}{${labels}}`;
+    const bounded = this.counters.has(key) || this.counters.size < MAX_SERIES ? key : `${name}{${OTHER}="1"}`;
+    this.counters.set(bounded, (this.counters.get(bounded) ?? 0) + amount);
+  }
+
+  prometheusText(): string {
+    const lines = [
+      ...histogramLines('pimentostall_first_data_ms', this.firstData),
+      ...histogramLines('pimentostall_request_ms', this.total),
+      ...[...this.counters].map(([key, value]) => `${key} ${value}`),
+    ];
+    return `${lines.join('\n')}\n`;
+  }
+}
+
+function seriesOf(map: Map<string, HistogramSeries>, labels: string): HistogramSeries {
+  const key = map.has(labels) || map.size < MAX_SERIES ? labels : `organisation="${OTHER}",route="${OTHER}"`;
+  const known = map.get(key);
+  if (known !== undefined) {
+    return known;
+  }
+  const series = new HistogramSeries();
+  map.set(key, series);
+  return series;
+}
+
+function histogramLines(name: string, map: Map<string, HistogramSeries>): string[] {
+  return [...map].flatMap(([labels, series]) => [
+    ...QUANTILES.map((quantile) => `${name}{${labels},quantile="${quantile}"} ${series.quantileMs(quantile)}`),
+    `${name}_sum{${labels}} ${series.totalMs}`,
+    `${name}_count{${labels}} ${series.count}`,
+  ]);
+}
--- /dev/null
+++ b/packages/gateway/src/options.ts
@@ -0,0 +1,82 @@
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { SharePlanOptions } from './money/planShare.ts';
+import { DEFAULT_SHARE_PLAN } from './money/planShare.ts';
+import type { PlacementOptions } from './placement/options.ts';
+import { DEFAULT_PLACEMENT } from './placement/options.ts';
+
+/** Every time and limit of the gateway. Bounds that the operator promises replace the defaults at the start. */
+export interface GatewayOptions {
+  /** Period in which a share is settled and brought to its target: two for each second of stranded spending. */
+  readonly settlePeriodMs: number;
+  /** Pause between draws while requests wait: two answers of the store. */
+  readonly redrawDelayMs: number;
+  /** First pause after a store call without an answer. */
+  readonly storeBackoffMs: number;
+  /** Longest such pause: below the time in which a returning store must be noticed. */
+  readonly storeBackoffMaxMs: number;
+  /** Conflicts in a row after which a change waits for its next turn, so that routers do not block each other. */
+  readonly ledgerConflictTries: number;
+  readonly sharePlan: SharePlanOptions;
+  /** Longest wait for tokens, as a part of the time within which the answer is on time. */
+  readonly budgetWaitTargetPart: number;
+  readonly placement: PlacementOptions;
+  readonly retryRatio: number;
+  readonly retryWindowMs: number;
+  readonly retrySlack: number;
+  /** Delay sent with a refusal when nothing better is known. */
+  readonly retryAfterMs: number;
+  /** Time after the deadline in which an upstream's own final answer may still arrive. */
+  readonly deadlineGraceMs: number;
+  /** Silence of an upstream, over all its connections, after which a repeatable request moves on. */
+  readonly silentUpstreamMs: number;
+  /** Silence of one connection after which a repeatable request moves on: below the two seconds of callers. */
+  readonly silentConnectionMs: number;
+  /** Time from the stop signal in which new requests are still taken, while callers learn other addresses. */
+  readonly drainAcceptMs: number;
+  /** Time from the stop signal after which the process ends, with a margin before it is killed. */
+  readonly drainLimitMs: number;
+  /** A router whose row has not changed for this long leaves the entry answers: two missed heartbeats. */
+  readonly routerSilentMs: number;
+  readonly heartbeatMs: number;
+  /** How long callers keep an entry answer. */
+  readonly entryTtlMs: number;
+}
+
+export const DEFAULT_OPTIONS: GatewayOptions = {
+  settlePeriodMs: 700,
+  redrawDelayMs: 15,
+  storeBackoffMs: 50,
+  storeBackoffMaxMs: 500,
+  ledgerConflictTries: 6,
+  sharePlan: DEFAULT_SHARE_PLAN,
+  budgetWaitTargetPart: 0.4,
+  placement: DEFAULT_PLACEMENT,
+  retryRatio: 0.1,
+  retryWindowMs: 10_000,
+  retrySlack: 20,
+  retryAfterMs: 700,
+  deadlineGraceMs: 120,
+  silentUpstreamMs: 900,
+  silentConnectionMs: 1_400,
+  drainAcceptMs: 2_800,
+  drainLimitMs: 7_600,
+  routerSilentMs: 2_600,
+  heartbeatMs: 1_000,
+  entryTtlMs: 1_500,
+};
+
+/** Applies defaults and checks the result. */
+export function createOptions(given: Partial<GatewayOptions> = {}): Result<GatewayOptions, string> {
+  const options = { ...DEFAULT_OPTIONS, ...given };
+  const wrong = Object.entries(options).find(
+    ([, value]) => typeof value === 'number' && !(Number.isFinite(value) && value >= 0),
+  );
+  if (wrong !== undefined) {
+    return err(`${wrong[0]}: expected a number that is not negative; correct the setting`);
+  }
+  if (options.drainAcceptMs >= options.drainLimitMs) {
+    return err('drainAcceptMs: expected less than drainLimitMs; lower it, so that open requests can finish');
+  }
+  return ok(options);
+}
--- /dev/null
+++ b/packages/gateway/src/requests/eventSplitter.ts
@@ -0,0 +1,58 @@
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+
+export interface SplitEvents {
+  /** Bytes of complete events, unchanged; empty if none is complete. */
+  readonly data: Buffer;
+  readonly count: number;
+  /** Id of the last complete event that has one. */
+  readonly lastEventId: string | undefined;
+}
+
+const EMPTY = Buffer.alloc(0);
+
+/**
+ * Cuts an event stream at the ends of its events. Only whole events go to the caller, so that a stream that breaks
+ * inside an event can go on at another engine without a partial event in between.
+ */
+export class EventSplitter {
+  private rest: Buffer = EMPTY;
+
+  push(chunk: Buffer): SplitEvents {
+    const data = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    let start = 0;
+    let count = 0;
+    let lastEventId: string | undefined;
+    for (let end = findEventEnd(data, start); end >= 0; end = findEventEnd(data, start)) {
+      lastEventId = readEventId(data.subarray(start, end)) ?? lastEventId;
+      count += 1;
+      start = end;
+    }
+    this.rest = data.subarray(start);
+    return { data: data.subarray(0, start), count, lastEventId };
+  }
+
+  /** Bytes after the last complete event. */
+  takeRest(): Buffer {
+    const { rest } = this;
+    this.rest = EMPTY;
+    return rest;
+  }
+}
+
+/** Index after the blank line that ends an event, or -1. */
+function findEventEnd(data: Buffer, from: number): number {
+  for (let index = data.indexOf(LINE_FEED, from); index >= 0; index = data.indexOf(LINE_FEED, index + 1)) {
+    if (data[index + 1] === LINE_FEED) {
+      return index + 2;
+    }
+    if (data[index + 1] === CARRIAGE_RETURN && data[index + 2] === LINE_FEED) {
+      return index + 3;
+    }
+  }
+  return -1;
+}
+
+function readEventId(event: Buffer): string | undefined {
+  return /(?:^|\n)id: ?([^\r\n]*)/.exec(event.toString('latin1'))?.[1];
+}
--- /dev/null
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -0,0 +1,334 @@
+import type { AttemptRecord, Task } from '@pimentostall/core';
+import { AttemptState, receive } from '@pimentostall/core';
+import type { GatewayContext } from '../context.ts';
+import type { Placement } from '../placement/chooseUpstream.ts';
+import { RouteKind } from '../types.ts';
+import { EventSplitter } from './eventSplitter.ts';
+import type { RequestEvent, UpstreamCall, UpstreamHead } from './ports.ts';
+import { RequestEventKind } from './ports.ts';
+import type { ServedRequest } from './servedRequest.ts';
+import { isRepeatable } from './servedRequest.ts';
+
+export enum AttemptEnd {
+  /** The caller has the whole answer. */
+  Answered = 'answered',
+  /** No connection could be opened. */
+  NotSent = 'not-sent',
+  /** The upstream states that it did not run the request. */
+  Refused = 'refused',
+  /** The upstream answered with a failure that was not passed on, since the request may be repeated. */
+  FailureAnswer = 'failure-answer',
+  /** The connection broke, fell silent or held something else than the answer. */
+  Broken = 'broken',
+  CallerGone = 'caller-gone',
+  DeadlinePassed = 'deadline-passed',
+}
+
+export interface AttemptResult {
+  readonly end: AttemptEnd;
+  readonly detail: string;
+}
+
+const FIRST_SERVER_ERROR_STATUS = 500;
+
+/** State of one attempt while its answer is read. */
+interface AttemptProgress {
+  readonly number: number;
+  readonly record: AttemptRecord;
+  readonly placement: Placement;
+  readonly call: UpstreamCall;
+  readonly splitter: EventSplitter | undefined;
+  head: UpstreamHead | undefined;
+  heardMs: number;
+  prefillCounted: boolean;
+}
+
+/** Sends the request to one upstream and relays the answer. */
+export function* runAttempt(
+  context: GatewayContext,
+  request: ServedRequest,
+  placement: Placement,
+  mayRepeat: boolean,
+): Task<AttemptResult> {
+  const progress = openAttempt(context, request, placement);
+  const view = placement.upstream;
+  view.inFlight += 1;
+  view.pendingPrefillTokens += placement.uncachedTokens;
+  try {
+    for (;;) {
+      const event = yield* receive(request.exchange.events, wakeAtMs(context, request, progress, mayRepeat));
+      const result =
+        event === undefined
+          ? checkTimes(context, request, progress, mayRepeat)
+          : takeEvent(context, request, progress, event, mayRepeat);
+      if (result !== undefined) {
+        return result;
+      }
+    }
+  } finally {
+    view.inFlight -= 1;
+    endPrefill(progress);
+  }
+}
+
+function openAttempt(
+  context: GatewayContext,
+  request: ServedRequest,
+  placement: Placement,
+): AttemptProgress {
+  const nowMs = context.loop.nowMs();
+  const { exchange, attempts, triedUpstreams } = request;
+  const { upstream } = placement;
+  const number = attempts.length + 1;
+  const record: AttemptRecord = {
+    attemptId: `${request.requestId}/${number}`,
+    foreign: false,
+    state: AttemptState.NotSent,
+  };
+  attempts.push(record);
+  triedUpstreams.add(upstream.entry.upstreamId);
+  const call = context.upstreamPort.open(
+    upstream.entry,
+    {
+      head: exchange.head,
+      body: exchange.body,
+      remainingMs: Math.max(1, Math.floor(request.deadlineAtMs - nowMs)),
+      organisationName: request.organisationName,
+      priority: request.route.kind === RouteKind.Streaming ? enginePriority(context, request) : undefined,
+      lastEventId: request.lastEventId,
+    },
+    number,
+    (event) => {
+      context.loop.push(exchange.events, event);
+    },
+  );
+  return {
+    number,
+    record,
+    placement,
+    call,
+    splitter: request.route.kind === RouteKind.Streaming ? new EventSplitter() : undefined,
+    head: undefined,
+    heardMs: nowMs,
+    prefillCounted: true,
+  };
+}
+
+/** Highest value of the engines' scale of priorities. */
+const LOWEST_ENGINE_PRIORITY = 9;
+
+function enginePriority(context: GatewayContext, request: ServedRequest): number {
+  const organisation =
+    request.organisationName === undefined
+      ? undefined
+      : context.board.configuration?.organisations.get(request.organisationName);
+  return Math.min(organisation?.priority ?? request.route.priority, LOWEST_ENGINE_PRIORITY);
+}
+
+function endPrefill(progress: AttemptProgress): void {
+  if (progress.prefillCounted) {
+    progress.prefillCounted = false;
+    progress.placement.upstream.pendingPrefillTokens -= progress.placement.uncachedTokens;
+  }
+}
+
+function wakeAtMs(
+  context: GatewayContext,
+  request: ServedRequest,
+  progress: AttemptProgress,
+  mayRepeat: boolean,
+): number {
+  const deadlineMs = request.deadlineAtMs + context.options.deadlineGraceMs;
+  if (!mayRepeat || !isRepeatable(request)) {
+    return deadlineMs;
+  }
+  return Math.min(deadlineMs, silentAtMs(context, request, progress));
+}
+
+/** Time at which a repeatable request moves on if nothing is heard. */
+function silentAtMs(context: GatewayContext, request: ServedRequest, progress: AttemptProgress): number {
+  const { silentUpstreamMs, silentConnectionMs } = context.options;
+  if (request.route.kind !== RouteKind.Streaming) {
+    // Twice the target leaves time for one more upstream before the caller's deadline.
+    const targetMs = request.route.targetLatencyMs ?? silentUpstreamMs;
+    return progress.heardMs + Math.min(2 * targetMs, silentUpstreamMs);
+  }
+  if (progress.head !== undefined && request.deliveredEvents > 0) {
+    return progress.heardMs + silentConnectionMs;
+  }
+  const upstreamHeardMs = progress.placement.upstream.lastHeardMs;
+  return Math.max(progress.heardMs, upstreamHeardMs) + silentUpstreamMs;
+}
+
+function checkTimes(
+  context: GatewayContext,
+  request: ServedRequest,
+  progress: AttemptProgress,
+  mayRepeat: boolean,
+): AttemptResult | undefined {
+  const nowMs = context.loop.nowMs();
+  if (nowMs >= request.deadlineAtMs + context.options.deadlineGraceMs) {
+    progress.call.cancel();
+    return { end: AttemptEnd.DeadlinePassed, detail: 'no whole answer before the deadline' };
+  }
+  if (mayRepeat && isRepeatable(request) && nowMs >= silentAtMs(context, request, progress)) {
+    progress.call.cancel();
+    progress.placement.upstream.recordFailure(nowMs);
+    return { end: AttemptEnd.Broken, detail: 'the upstream fell silent' };
+  }
+  return undefined;
+}
+
+function takeEvent(
+  context: GatewayContext,
+  request: ServedRequest,
+  progress: AttemptProgress,
+  event: RequestEvent,
+  mayRepeat: boolean,
+): AttemptResult | undefined {
+  if (event.kind === RequestEventKind.CallerGone) {
+    progress.call.cancel();
+    return { end: AttemptEnd.CallerGone, detail: 'the caller closed its connection' };
+  }
+  if (event.attempt !== progress.number) {
+    return undefined;
+  }
+  const nowMs = context.loop.nowMs();
+  const view = progress.placement.upstream;
+  switch (event.kind) {
+    case RequestEventKind.UpstreamSent:
+      progress.record.state = AttemptState.Sent;
+      progress.heardMs = nowMs;
+      request.sentCount += 1;
+      return undefined;
+    case RequestEventKind.UpstreamHead:
+      progress.heardMs = nowMs;
+      view.lastHeardMs = nowMs;
+      progress.head = event.head;
+      return takeHead(context, request, progress, event.head, mayRepeat);
+    case RequestEventKind.UpstreamData:
+      progress.heardMs = nowMs;
+      view.lastHeardMs = nowMs;
+      relayData(context, request, progress, event.data);
+      return undefined;
+    case RequestEventKind.UpstreamEnd:
+      return takeEnd(context, request, progress);
+    case RequestEventKind.UpstreamFailed:
+      return takeFailure(context, request, progress, event.detail);
+  }
+}
+
+function takeHead(
+  context: GatewayContext,
+  request: ServedRequest,
+  progress: AttemptProgress,
+  head: UpstreamHead,
+  mayRepeat: boolean,
+): AttemptResult | undefined {
+  const view = progress.placement.upstream;
+  const nowMs = context.loop.nowMs();
+  if (head.wrongInstance) {
+    progress.record.state = AttemptState.RefusedByUpstream;
+    progress.call.discard();
+    view.eject(nowMs, context.options.placement.ejectionMaxMs);
+    return { end: AttemptEnd.Refused, detail: 'another upstream has the address' };
+  }
+  if (head.notExecuted) {
+    progress.record.state = AttemptState.RefusedByUpstream;
+    progress.call.discard();
+    view.recordFailure(nowMs);
+    return { end: AttemptEnd.Refused, detail: `the upstream refused with status ${head.status}` };
+  }
+  if (!head.answersRequest || !head.signed) {
+    progress.call.cancel();
+    view.recordFailure(nowMs);
+    return { end: AttemptEnd.Broken, detail: 'the answer does not belong to the request' };
+  }
+  progress.record.state = AttemptState.Ran;
+  if (head.status >= FIRST_SERVER_ERROR_STATUS) {
+    view.recordFailure(nowMs);
+    if (request.started) {
+      progress.call.cancel();
+      return { end: AttemptEnd.Broken, detail: `the upstream answered a resumed stream with ${head.status}` };
+    }
+    if (mayRepeat && isRepeatable(request)) {
+      progress.call.discard();
+      return { end: AttemptEnd.FailureAnswer, detail: `the upstream failed with status ${head.status}` };
+    }
+  }
+  return undefined;
+}
+
+function relayData(
+  context: GatewayContext,
+  request: ServedRequest,
+  progress: AttemptProgress,
+  data: Buffer,
+): void {
+  const isEvents = progress.splitter !== undefined && progress.head?.status === 200;
+  if (!isEvents) {
+    deliver(context, request, progress, data);
+    return;
+  }
+  const split = progress.splitter.push(data);
+  if (split.count === 0) {
+    return;
+  }
+  endPrefill(progress);
+  progress.placement.upstream.rememberParts(request.exchange.head.promptParts, context.loop.nowMs());
+  request.deliveredEvents += split.count;
+  request.lastEventId = split.lastEventId ?? request.lastEventId;
+  deliver(context, request, progress, split.data);
+}
+
+function deliver(
+  context: GatewayContext,
+  request: ServedRequest,
+  progress: AttemptProgress,
+  data: Buffer,
+): void {
+  startAnswer(context, request, progress);
+  const writable = request.exchange.write(data, () => {
+    progress.call.resume();
+  });
+  if (!writable) {
+    progress.call.pause();
+  }
+}
+
+function startAnswer(context: GatewayContext, request: ServedRequest, progress: AttemptProgress): void {
+  if (request.started || progress.head === undefined) {
+    return;
+  }
+  request.started = true;
+  request.firstDataMs = context.loop.nowMs();
+  request.exchange.start(progress.head.status, progress.head.forwardHeaders);
+}
+
+function takeEnd(
+  context: GatewayContext,
+  request: ServedRequest,
+  progress: AttemptProgress,
+): AttemptResult {
+  const rest = progress.splitter?.takeRest();
+  if (rest !== undefined && rest.length > 0) {
+    deliver(context, request, progress, rest);
+  }
+  startAnswer(context, request, progress);
+  if ((progress.head?.status ?? FIRST_SERVER_ERROR_STATUS) < FIRST_SERVER_ERROR_STATUS) {
+    progress.placement.upstream.recordSuccess();
+  }
+  request.exchange.end();
+  return { end: AttemptEnd.Answered, detail: `status ${progress.head?.status ?? 0}` };
+}
+
+function takeFailure(
+  context: GatewayContext,
+  request: ServedRequest,
+  progress: AttemptProgress,
+  detail: string,
+): AttemptResult {
+  progress.placement.upstream.recordFailure(context.loop.nowMs());
+  const sent = progress.record.state !== AttemptState.NotSent;
+  return { end: sent ? AttemptEnd.Broken : AttemptEnd.NotSent, detail };
+}
--- /dev/null
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -0,0 +1,308 @@
+import type { Task } from '@pimentostall/core';
+import { AttemptState, Verdict } from '@pimentostall/core';
+import type { GatewayContext } from '../context.ts';
+import {
+  openAccount,
+  reserveTokens,
+  ReserveOutcomeKind,
+  settleTokens,
+} from '../money/ledgerController.ts';
+import { LogLevel } from '../observability/log.ts';
+import type { Placement } from '../placement/chooseUpstream.ts';
+import { chooseUpstream } from '../placement/chooseUpstream.ts';
+import { RetryBudget } from '../retries/retryBudget.ts';
+import { chooseService } from '../routing/routeTable.ts';
+import { AnswerReason, ownAnswer } from './ownAnswers.ts';
+import type { CallerExchange } from './ports.ts';
+import type { AttemptResult } from './runAttempt.ts';
+import { AttemptEnd, runAttempt } from './runAttempt.ts';
+import type { ServedRequest } from './servedRequest.ts';
+import { isRepeatable, requestVerdict } from './servedRequest.ts';
+
+/** Connections that may fail before they are open, for one request; they do not count as sent. */
+const MAX_UNSENT_ATTEMPTS = 3;
+/** Tokens of one event of a plain service's stream, which has no budget; only the charge uses it. */
+const DEFAULT_TOKENS_PER_EVENT = 1;
+/** Time for which a caller waits that names no deadline and whose route has none. */
+const DEFAULT_DEADLINE_MS = 10_000;
+
+/** Serves one request from its arrival to its end. */
+export function* serveRequest(context: GatewayContext, exchange: CallerExchange): Task<void> {
+  context.board.openRequests += 1;
+  try {
+    const admitted = admit(context, exchange);
+    if (admitted.kind === 'answered') {
+      finish(context, exchange, undefined, admitted.reason, 'refused before any work');
+      return;
+    }
+    yield* serveAdmitted(context, admitted.request);
+  } finally {
+    context.board.openRequests -= 1;
+  }
+}
+
+type Admission =
+  | { readonly kind: 'answered'; readonly reason: AnswerReason }
+  | { readonly kind: 'admitted'; readonly request: ServedRequest };
+
+function admit(context: GatewayContext, exchange: CallerExchange): Admission {
+  const { board, options, loop } = context;
+  const { head } = exchange;
+  const { configuration, routeTable } = board;
+  if (configuration === undefined || routeTable === undefined) {
+    return { kind: 'answered', reason: AnswerReason.NoConfiguration };
+  }
+  const route = routeTable.find(head.host, head.target);
+  if (route === undefined) {
+    return { kind: 'answered', reason: AnswerReason.UnknownRoute };
+  }
+  const organisationName = head.key === undefined ? undefined : board.organisationByKey.get(head.key);
+  if (configuration.requiresKeys && !route.anonymous && organisationName === undefined) {
+    return { kind: 'answered', reason: AnswerReason.UnknownKey };
+  }
+  if (head.requestId === undefined) {
+    return { kind: 'answered', reason: AnswerReason.MissingRequestId };
+  }
+  if (board.draining && loop.nowMs() - board.drainStartedMs > options.drainAcceptMs) {
+    return { kind: 'answered', reason: AnswerReason.Draining };
+  }
+  const serviceName = chooseService(route.targets, context.random());
+  const service = serviceName === undefined ? undefined : configuration.services.get(serviceName);
+  if (service === undefined) {
+    return { kind: 'answered', reason: AnswerReason.NoUpstream };
+  }
+  const waitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
+  return {
+    kind: 'admitted',
+    request: {
+      exchange,
+      requestId: head.requestId,
+      route,
+      service,
+      organisationName: route.anonymous ? undefined : organisationName,
+      configurationVersion: configuration.version,
+      deadlineAtMs: exchange.arrivedMs + waitMs,
+      attempts: [],
+      triedUpstreams: new Set(),
+      sentCount: 0,
+      reservation: undefined,
+      started: false,
+      deliveredEvents: 0,
+      lastEventId: head.lastEventId,
+      firstDataMs: undefined,
+    },
+  };
+}
+
+function* serveAdmitted(context: GatewayContext, request: ServedRequest): Task<void> {
+  retryBudgetOf(context, request.service.name).recordRequest(context.loop.nowMs());
+  try {
+    const refusal = yield* reserve(context, request);
+    if (refusal !== undefined) {
+      finish(context, request.exchange, request, refusal, 'no tokens could be reserved');
+      return;
+    }
+    yield* attemptUntilDone(context, request);
+  } finally {
+    settle(context, request);
+  }
+}
+
+/** Holds the request's largest size; returns the reason if it cannot be held. */
+function* reserve(context: GatewayContext, request: ServedRequest): Task<AnswerReason | undefined> {
+  const { usage } = request.exchange.head;
+  const { organisationName } = request;
+  if (usage === undefined || organisationName === undefined) {
+    return undefined;
+  }
+  if (context.board.configuration?.organisations.get(organisationName)?.reservedTokens === undefined) {
+    return undefined;
+  }
+  const account = openAccount(context, organisationName);
+  const reservedTokens = usage.promptTokens + usage.maxOutputTokens;
+  const nowMs = context.loop.nowMs();
+  const targetMs = request.route.targetLatencyMs ?? request.deadlineAtMs - request.exchange.arrivedMs;
+  const waitUntilMs = Math.min(
+    nowMs + targetMs * context.options.budgetWaitTargetPart,
+    request.deadlineAtMs,
+  );
+  const outcome = yield* reserveTokens(context, account, reservedTokens, waitUntilMs);
+  switch (outcome) {
+    case ReserveOutcomeKind.Reserved:
+      request.reservation = {
+        account,
+        reservedTokens,
+        promptTokens: usage.promptTokens,
+        maxOutputTokens: usage.maxOutputTokens,
+      };
+      return undefined;
+    case ReserveOutcomeKind.Exhausted:
+      return AnswerReason.BudgetExhausted;
+    case ReserveOutcomeKind.Short:
+      return AnswerReason.ShareShort;
+  }
+}
+
+function settle(context: GatewayContext, request: ServedRequest): void {
+  const { reservation } = request;
+  if (reservation === undefined) {
+    return;
+  }
+  const ran = requestVerdict(request) !== Verdict.DidNotRun;
+  const perEvent = request.service.engine?.tokensPerEvent ?? DEFAULT_TOKENS_PER_EVENT;
+  const outputTokens = Math.min(reservation.maxOutputTokens, request.deliveredEvents * perEvent);
+  const spentTokens = ran ? reservation.promptTokens + outputTokens : 0;
+  settleTokens(context, reservation.account, reservation.reservedTokens, spentTokens);
+}
+
+function* attemptUntilDone(context: GatewayContext, request: ServedRequest): Task<void> {
+  for (;;) {
+    if (request.exchange.isGone()) {
+      finish(context, request.exchange, request, undefined, 'the caller left before an attempt');
+      return;
+    }
+    const placement = place(context, request);
+    if (placement === undefined) {
+      const reason = request.attempts.length === 0 ? AnswerReason.NoUpstream : AnswerReason.UpstreamFailed;
+      finish(context, request.exchange, request, reason, 'no other upstream can be used');
+      return;
+    }
+    const mayRepeat = request.sentCount + 1 < request.route.maxAttempts;
+    const result = yield* runAttempt(context, request, placement, mayRepeat);
+    logAttempt(context, request, placement, result);
+    const reason = reasonToStop(context, request, result);
+    if (reason !== 'repeat') {
+      finish(context, request.exchange, request, reason, result.detail);
+      return;
+    }
+  }
+}
+
+function place(context: GatewayContext, request: ServedRequest): Placement | undefined {
+  const { head } = request.exchange;
+  return chooseUpstream(
+    {
+      serviceName: request.service.name,
+      promptParts: head.promptParts,
+      promptTokens: head.usage?.promptTokens ?? 0,
+      excluded: request.triedUpstreams,
+    },
+    context.board.upstreams.values(),
+    context.place,
+    context.loop.nowMs(),
+    context.options.placement,
+  );
+}
+
+/** `repeat`, or the reason of the final answer; undefined if the caller has its answer or is gone. */
+function reasonToStop(
+  context: GatewayContext,
+  request: ServedRequest,
+  result: AttemptResult,
+): AnswerReason | 'repeat' | undefined {
+  switch (result.end) {
+    case AttemptEnd.Answered:
+    case AttemptEnd.CallerGone:
+      return undefined;
+    case AttemptEnd.DeadlinePassed:
+      return AnswerReason.DeadlineExceeded;
+    case AttemptEnd.NotSent:
+      return request.attempts.filter(({ state }) => state === AttemptState.NotSent).length < MAX_UNSENT_ATTEMPTS
+        ? 'repeat'
+        : AnswerReason.UpstreamFailed;
+    case AttemptEnd.Refused:
+      return mayRepeatNow(context, request) ? 'repeat' : AnswerReason.UpstreamRefused;
+    case AttemptEnd.FailureAnswer:
+    case AttemptEnd.Broken:
+      return isRepeatable(request) && mayRepeatNow(context, request)
+        ? 'repeat'
+        : AnswerReason.UpstreamFailed;
+  }
+}
+
+function mayRepeatNow(context: GatewayContext, request: ServedRequest): boolean {
+  const nowMs = context.loop.nowMs();
+  return (
+    request.sentCount < request.route.maxAttempts &&
+    nowMs < request.deadlineAtMs &&
+    retryBudgetOf(context, request.service.name).tryRepeat(nowMs, context.sharingRouters())
+  );
+}
+
+function retryBudgetOf(context: GatewayContext, serviceName: string): RetryBudget {
+  const known = context.board.retryBudgets.get(serviceName);
+  if (known !== undefined) {
+    return known;
+  }
+  const { retryRatio, retryWindowMs, retrySlack } = context.options;
+  const budget = new RetryBudget({ ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack });
+  context.board.retryBudgets.set(serviceName, budget);
+  return budget;
+}
+
+/** Gives the final answer, if the caller does not have it, and writes the line that explains it. */
+function finish(
+  context: GatewayContext,
+  exchange: CallerExchange,
+  request: ServedRequest | undefined,
+  reason: AnswerReason | undefined,
+  detail: string,
+): void {
+  const verdict = request === undefined ? Verdict.DidNotRun : requestVerdict(request);
+  let status: number | undefined;
+  if (reason !== undefined) {
+    if (request?.started === true) {
+      exchange.abort();
+    } else {
+      const answer = ownAnswer(reason, verdict, context.options.retryAfterMs);
+      ({ status } = answer);
+      exchange.answer(answer);
+    }
+  }
+  context.log(LogLevel.Info, 'request ended', {
+    requestId: exchange.head.requestId,
+    organisation: request?.organisationName,
+    route: request?.route.name,
+    service: request?.service.name,
+    configurationVersion: request?.configurationVersion ?? context.board.configuration?.version,
+    reason: reason ?? 'answered',
+    status,
+    verdict,
+    detail,
+    attempts: request?.attempts.length ?? 0,
+    events: request?.deliveredEvents,
+    firstDataMs: elapsedMs(exchange, request?.firstDataMs),
+    totalMs: elapsedMs(exchange, context.loop.nowMs()),
+  });
+  context.metrics.recordRequest({
+    organisation: request?.organisationName ?? 'none',
+    route: request?.route.name ?? 'none',
+    outcome: reason ?? 'answered',
+    firstDataMs: elapsedMs(exchange, request?.firstDataMs),
+    totalMs: context.loop.nowMs() - exchange.arrivedMs,
+  });
+}
+
+function elapsedMs(exchange: CallerExchange, atMs: number | undefined): number | undefined {
+  return atMs === undefined ? undefined : Math.round(atMs - exchange.arrivedMs);
+}
+
+function logAttempt(
+  context: GatewayContext,
+  request: ServedRequest,
+  placement: Placement,
+  result: AttemptResult,
+): void {
+  const routine = result.end === AttemptEnd.Answered || result.end === AttemptEnd.CallerGone;
+  context.log(routine ? LogLevel.Debug : LogLevel.Info, 'attempt ended', {
+    requestId: request.requestId,
+    attempt: request.attempts.length,
+    upstream: placement.upstream.entry.upstreamId,
+    address: placement.upstream.entry.address,
+    end: result.end,
+    detail: result.detail,
+    expectedCostMs: Math.round(placement.costMs),
+    uncachedTokens: Math.round(placement.uncachedTokens),
+    upstreamInFlight: placement.upstream.inFlight,
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/retries/retryBudget.ts
@@ -0,0 +1,63 @@
+export interface RetryBudgetOptions {
+  /** Repeats allowed for each request, over all routers. */
+  readonly ratio: number;
+  readonly windowMs: number;
+  /** Repeats allowed in a window beyond the ratio, over all routers. */
+  readonly slack: number;
+}
+
+/** Buckets per window: the resolution with which old requests leave the count. */
+const BUCKETS_PER_WINDOW = 20;
+/**
+ * Part of the ratio that is used: the other routers' counts shift between windows, and a request may be counted in
+ * an earlier window than its repeat.
+ */
+const RATIO_USED = 0.8;
+
+interface Bucket {
+  index: number;
+  requests: number;
+  repeats: number;
+}
+
+/**
+ * Bounds the repeats that this router sends to one service, so that all routers together stay below
+ * `ratio x requests + slack` in every window.
+ */
+export class RetryBudget {
+  private readonly buckets: Bucket[] = [];
+
+  constructor(private readonly options: RetryBudgetOptions) {}
+
+  recordRequest(nowMs: number): void {
+    this.bucketAt(nowMs).requests += 1;
+  }
+
+  /** @param routerCount routers that may share the slack. Returns false if the repeat must not be sent. */
+  tryRepeat(nowMs: number, routerCount: number): boolean {
+    const bucket = this.bucketAt(nowMs);
+    const requests = this.buckets.reduce((sum, { requests }) => sum + requests, 0);
+    const repeats = this.buckets.reduce((sum, { repeats }) => sum + repeats, 0);
+    const allowed =
+      this.options.ratio * RATIO_USED * requests + Math.floor(this.options.slack / Math.max(1, routerCount));
+    if (repeats + 1 > allowed) {
+      return false;
+    }
+    bucket.repeats += 1;
+    return true;
+  }
+
+  private bucketAt(nowMs: number): Bucket {
+    const index = Math.floor(nowMs / (this.options.windowMs / BUCKETS_PER_WINDOW));
+    while (this.buckets.length > 0 && (this.buckets[0]?.index ?? index) <= index - BUCKETS_PER_WINDOW) {
+      this.buckets.shift();
+    }
+    const last = this.buckets.at(-1);
+    if (last?.index === index) {
+      return last;
+    }
+    const bucket = { index, requests: 0, repeats: 0 };
+    this.buckets.push(bucket);
+    return bucket;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/routing/routeTable.ts
@@ -0,0 +1,58 @@
+import type { Route, WeightedService } from '../types.ts';
+
+/** Finds the route of a request: the longest prefix of its host that begins the path. */
+export class RouteTable {
+  private readonly routesByHost = new Map<string, Map<string, Route>>();
+
+  constructor(routes: readonly Route[]) {
+    for (const route of routes) {
+      const host = route.hostname.toLowerCase();
+      const prefixes = this.routesByHost.get(host) ?? new Map<string, Route>();
+      prefixes.set(route.prefix, route);
+      this.routesByHost.set(host, prefixes);
+    }
+  }
+
+  /** @param host the `Host` header, with or without a port. @param target the request target with its query. */
+  find(host: string, target: string): Route | undefined {
+    const prefixes = this.routesByHost.get(hostnameOf(host));
+    if (prefixes === undefined) {
+      return undefined;
+    }
+    const path = pathOf(target);
+    // Every prefix ends with a slash, so only the path up to one of its slashes can match.
+    for (let end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      const route = prefixes.get(path.slice(0, end + 1));
+      if (route !== undefined) {
+        return route;
+      }
+      if (end === 0) {
+        break;
+      }
+    }
+    return undefined;
+  }
+}
+
+function hostnameOf(host: string): string {
+  const colon = host.indexOf(':');
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
+}
+
+function pathOf(target: string): string {
+  const query = target.indexOf('?');
+  return query < 0 ? target : target.slice(0, query);
+}
+
+/** Chooses one of a route's services by weight. @param draw a number in [0, 1). */
+export function chooseService(targets: readonly WeightedService[], draw: number): string | undefined {
+  const total = targets.reduce((sum, target) => sum + target.weight, 0);
+  let remaining = draw * total;
+  for (const target of targets) {
+    remaining -= target.weight;
+    if (remaining < 0) {
+      return target.serviceName;
+    }
+  }
+  return targets.at(-1)?.serviceName;
+}
--- /dev/null
+++ b/packages/gateway/src/runtime/taskLoop.ts
@@ -0,0 +1,84 @@
+import type { Task } from '@pimentostall/core';
+import { Channel, receive, Scheduler } from '@pimentostall/core';
+
+export interface LoopClock {
+  /** Monotonic milliseconds. */
+  nowMs(): number;
+  /** Calls back after a delay; returns a function that cancels it. */
+  startTimer(delayMs: number, callback: () => void): () => void;
+}
+
+/** Called when a task throws; the task ends and the others go on. */
+export type TaskFailure = (taskName: string, cause: unknown) => void;
+
+/** Runs generator tasks when one of their channels gets an item or their deadline passes. */
+export class TaskLoop {
+  private readonly scheduler: Scheduler;
+  private running = false;
+  private armedDeadlineMs = Infinity;
+  private cancelTimer: (() => void) | undefined;
+
+  constructor(
+    private readonly clock: LoopClock,
+    onTaskFailure: TaskFailure,
+  ) {
+    this.scheduler = new Scheduler(onTaskFailure);
+  }
+
+  nowMs(): number {
+    return this.clock.nowMs();
+  }
+
+  spawn(name: string, task: Task<void>): void {
+    this.scheduler.spawn(name, task);
+    this.run();
+  }
+
+  push<T>(channel: Channel<T>, item: T): void {
+    channel.push(item);
+    this.run();
+  }
+
+  /** Waits for a promise that does not reject. */
+  *settled<T>(promise: Promise<T>): Task<T> {
+    const channel = new Channel<{ value: T }>();
+    void promise.then((value) => {
+      this.push(channel, { value });
+    });
+    for (;;) {
+      const item = yield* receive(channel, Infinity);
+      if (item !== undefined) {
+        return item.value;
+      }
+    }
+  }
+
+  private run(): void {
+    if (this.running) {
+      return;
+    }
+    this.running = true;
+    try {
+      this.scheduler.run(this.clock.nowMs());
+    } finally {
+      this.running = false;
+    }
+    this.armTimer();
+  }
+
+  /** Keeps one timer for the earliest deadline; a later deadline keeps the earlier timer, which then re-arms. */
+  private armTimer(): void {
+    const deadlineMs = this.scheduler.nextDeadlineMs;
+    if (deadlineMs >= this.armedDeadlineMs) {
+      return;
+    }
+    this.cancelTimer?.();
+    this.armedDeadlineMs = deadlineMs;
+    const delayMs = Math.max(0, Math.ceil(deadlineMs - this.clock.nowMs()));
+    this.cancelTimer = this.clock.startTimer(delayMs, () => {
+      this.armedDeadlineMs = Infinity;
+      this.cancelTimer = undefined;
+      this.run();
+    });
+  }
+}
