Give back what a killed router cannot have spent, and hold plain answers until whole

Answers without a length whose data and reset arrive together ended as complete (libuv reports an orderly end). Change: share rows hold a limit that opens with the store's silence; the next life returns what lies beyond it. Plain answers go out once they are whole. The end of an answer without a length is probed with a write.

--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -1,4 +1,5 @@
 import type { LedgerAccount } from './money/ledgerController.ts';
+import type { Predecessor } from './money/liveness.ts';
 import type { UpstreamView } from './placement/upstreamView.ts';
 import type { RetryBudget } from './retries/retryBudget.ts';
 import type { RouteTable } from './routing/routeTable.ts';
@@ -26,6 +27,12 @@
   drainStartedMs: number;
   /** Ends the controllers. */
   stopped: boolean;
+  /** How the previous life of this router ended; set before the first account is opened. */
+  predecessor: Predecessor;
+  /** Monotonic time of the newest liveness record that the store may hold. */
+  livenessBasisMs: number;
+  /** True once a stopping router only gives its shares back. */
+  returningShares: boolean;
   /** Requests that are read and not answered. */
   openRequests: number;
   /** Monotonic time of the last reply of the store; undefined before the first. */
@@ -44,6 +51,9 @@
     draining: false,
     drainStartedMs: Infinity,
     stopped: false,
+    predecessor: { record: undefined, endedBeforeStoreMs: 0 },
+    livenessBasisMs: Infinity,
+    returningShares: false,
     openRequests: 0,
     storeHeardMs: undefined,
   };
--- a/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
+++ b/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
@@ -108,6 +108,15 @@
   assert.equal(events.at(-1)?.kind, RequestEventKind.UpstreamFailed);
 });
 
+test('an answer without a length whose data and reset arrive together is not taken as complete', async () => {
+  const upstream = await startUpstream((socket) => {
+    socket.write(`${UNFRAMED_HEAD}half of the ans`);
+    socket.resetAndDestroy();
+  });
+  const events = await exchange(upstream);
+  assert.equal(events.at(-1)?.kind, RequestEventKind.UpstreamFailed);
+});
+
 test('an answer without a length that ends with an orderly close is complete', async () => {
   const upstream = await startUpstream((socket) => {
     socket.end(`${UNFRAMED_HEAD}the whole answer`);
--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -1,3 +1,5 @@
+import type { Socket } from 'node:net';
+import { Writable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import { buildConnector, Client, errors, Pool } from 'undici';
 import type { RequestEvent, UpstreamCall, UpstreamPort, UpstreamRequest } from '../requests/ports.ts';
@@ -78,6 +80,12 @@
   }
 }
 
+/** Headers that say where an answer ends. */
+const FRAMING_HEADERS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
+
+/** Code of the error with which undici itself closes a connection after a whole answer. */
+const UNDICI_CLOSE_CODE = 'UND_ERR_INFO';
+
 interface CallOptions extends Dispatcher.DispatchOptions {
   readonly call: HttpCall;
 }
@@ -100,8 +108,13 @@
             callback(cause, null);
             return;
           }
-          // Added before undici's own listener, so that the request knows before it is told of the end.
-          socket.on('error', () => current.call?.recordReset());
+          // Added before undici's own listeners, so that the request knows before it is told of the end.
+          socket.on('error', (failure: NodeJS.ErrnoException) => {
+            if (failure.code !== UNDICI_CLOSE_CODE) {
+              current.call?.recordReset();
+            }
+          });
+          socket.on('end', () => current.call?.probeEnd(socket));
           callback(null, socket);
         });
       },
@@ -121,6 +134,9 @@
   private cancelled = false;
   private discarding = false;
   private reset = false;
+  /** The answer has no length: the end of the connection is its end. */
+  private endsWithConnection = false;
+  private endProbe: Promise<void> | undefined;
 
   constructor(
     private readonly codec: WireCodec,
@@ -135,6 +151,22 @@
     this.controller?.abort(new errors.RequestAbortedError());
   }
 
+  /**
+   * Finds out whether the connection that ended was reset. libuv reports data and a reset that arrive together as
+   * an orderly end; only a write then tells them apart. The upstream has closed and ignores the line break.
+   */
+  probeEnd(socket: Socket): void {
+    if (this.endsWithConnection && !this.silenced) {
+      this.endProbe = new Promise((resolve) => {
+        // Node replaces `write` of a socket that the other side has ended.
+        Writable.prototype.write.call(socket, '\r\n', 'latin1', (cause) => {
+          this.reset ||= cause instanceof Error;
+          resolve();
+        });
+      });
+    }
+  }
+
   /** The connection failed; an end that follows is no end of the answer. */
   recordReset(): void {
     this.reset = true;
@@ -170,6 +202,9 @@
     const headers = (rawHeaders ?? []).map((part) =>
       typeof part === 'string' ? part : part.toString('latin1'),
     );
+    this.endsWithConnection = !headers.some(
+      (name, index) => index % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()),
+    );
     const head = this.codec.decodeUpstreamHead(this.request, this.upstream, status, headers);
     this.report({ kind: RequestEventKind.UpstreamHead, attempt: this.attempt, head });
   }
@@ -181,6 +216,16 @@
   }
 
   onResponseEnd(): void {
+    if (this.endProbe === undefined) {
+      this.reportEnd();
+    } else {
+      void this.endProbe.then(() => {
+        this.reportEnd();
+      });
+    }
+  }
+
+  private reportEnd(): void {
     if (this.reset) {
       this.fail('the connection was reset before the end of the answer');
     } else if (!this.silenced) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,10 @@
   settleTokens,
   wakeAccount,
 } from './money/ledgerController.ts';
+export type { LivenessRecord, LivenessStore, Predecessor } from './money/liveness.ts';
+export { keepLiveness, readPredecessor } from './money/liveness.ts';
+export type { ReleaseOptions } from './money/release.ts';
+export { spendableTokens } from './money/release.ts';
 export { OrganisationLedger } from './money/organisationLedger.ts';
 export type { SharePlanInput, SharePlanOptions } from './money/planShare.ts';
 export { DEFAULT_SHARE_PLAN, planShare } from './money/planShare.ts';
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -39,7 +39,14 @@
   }
   const account: LedgerAccount = {
     organisationName,
-    ledger: new OrganisationLedger(context.loop.nowMs()),
+    ledger: new OrganisationLedger(
+      {
+        incarnationId: context.self.incarnationId,
+        predecessor: context.board.predecessor,
+        release: context.options.release,
+      },
+      context.loop.nowMs(),
+    ),
     wake: new Channel<true>(),
     waiters: new Set(),
     replies: 0,
@@ -58,7 +65,7 @@
 ): Task<ReserveOutcomeKind> {
   const { ledger } = account;
   ledger.recordDemand(tokens, context.loop.nowMs());
-  if (tryReserve(context.board, account, tokens)) {
+  if (tryReserve(context, account, tokens)) {
     return ReserveOutcomeKind.Reserved;
   }
   const waiter: Waiter = { tokens, woken: new Channel<true>() };
@@ -68,7 +75,7 @@
     const repliesBefore = account.replies;
     while (context.loop.nowMs() < waitUntilMs) {
       yield* receive(waiter.woken, waitUntilMs);
-      if (tryReserve(context.board, account, tokens)) {
+      if (tryReserve(context, account, tokens)) {
         return ReserveOutcomeKind.Reserved;
       }
       const budget = budgetOf(context.board, account.organisationName);
@@ -93,10 +100,11 @@
   wakeWaiters(context, account);
 }
 
-function tryReserve(board: GatewayBoard, account: LedgerAccount, tokens: number): boolean {
+function tryReserve(context: GatewayContext, account: LedgerAccount, tokens: number): boolean {
+  const { board, loop } = context;
   // After a cut of the budget below what is drawn, free tokens are no longer this router's to spend.
   const overdrawn = account.ledger.rows.total.grantedTokens > budgetOf(board, account.organisationName);
-  return !overdrawn && account.ledger.tryReserve(tokens);
+  return !overdrawn && account.ledger.tryReserve(tokens, loop.nowMs() - board.livenessBasisMs);
 }
 
 export function budgetOf(board: GatewayBoard, organisationName: string): number {
@@ -120,11 +128,12 @@
 /** Draws, returns and settles: at once when a request waits, otherwise once per period. */
 function* keepAccount(context: GatewayContext, account: LedgerAccount): Task<void> {
   const { loop, options } = context;
-  let nextMs = loop.nowMs();
+  // Periods of the accounts are spread, so that routers that started together do not conflict each time.
+  let nextMs = loop.nowMs() + options.settlePeriodMs * context.random();
   let failures = 0;
   while (!context.board.stopped) {
-    const woken = yield* receive(account.wake, nextMs);
-    const change = nextChange(context, account, woken === true);
+    yield* receive(account.wake, nextMs);
+    const change = nextChange(context, account);
     if (change === undefined) {
       nextMs = loop.nowMs() + options.settlePeriodMs;
       // Nothing can be drawn now: the waiting requests learn it from the rows.
@@ -145,21 +154,16 @@
   }
 }
 
-function nextChange(
-  context: GatewayContext,
-  account: LedgerAccount,
-  woken: boolean,
-): LedgerChange | undefined {
+function nextChange(context: GatewayContext, account: LedgerAccount): LedgerChange | undefined {
   const { board, loop, options } = context;
   const needed = [...account.waiters].reduce((sum, { tokens }) => sum + tokens, 0);
-  const neededTokens = needed === 0 ? 0 : Math.max(0, needed - Math.max(0, account.ledger.freeTokens));
-  if (board.draining && !woken) {
+  if (board.returningShares) {
     return account.ledger.planReturn();
   }
   return account.ledger.plan(
     {
       budgetTokens: budgetOf(board, account.organisationName),
-      neededTokens,
+      neededTokens: needed,
       routerCount: Math.max(1, board.routers.size),
       nowMs: loop.nowMs(),
     },
@@ -184,7 +188,7 @@
       case LedgerOutcomeKind.Conflict:
         account.replies += 1;
         wakeWaiters(context, account);
-        change = nextChange(context, account, true);
+        change = nextChange(context, account);
         break;
       case LedgerOutcomeKind.Rejected:
       case LedgerOutcomeKind.Unknown:
@@ -200,7 +204,8 @@
   change: LedgerChange,
   outcome: LedgerOutcomeKind,
 ): void {
-  const drawnTokens = change.share.grantedTokens - change.base.share.grantedTokens;
+  const own = change.base.share?.incarnationId === change.share.incarnationId ? change.base.share : undefined;
+  const drawnTokens = change.share.grantedTokens - (own?.grantedTokens ?? 0);
   context.log(outcome === LedgerOutcomeKind.Unknown ? LogLevel.Warn : LogLevel.Debug, 'budget change', {
     organisation: account.organisationName,
     outcome,
@@ -208,6 +213,10 @@
     baseVersion: change.base.totalVersion,
     grantedTokens: account.ledger.rows.total.grantedTokens,
     settledTokens: account.ledger.rows.total.settledTokens,
+    strandedTokens: account.ledger.rows.total.strandedTokens,
     freeTokens: account.ledger.freeTokens,
+    limitTokens: account.ledger.rows.share?.limitTokens,
+    reservedTokens: account.ledger.reserved,
+    budgetTokens: budgetOf(context.board, account.organisationName),
   });
 }
--- /dev/null
+++ b/packages/gateway/src/money/liveness.ts
@@ -0,0 +1,72 @@
+import type { Task } from '@pimentostall/core';
+import { sleepUntil } from '@pimentostall/core';
+import type { GatewayContext } from '../context.ts';
+import { LogLevel } from '../observability/log.ts';
+import type { ReleaseOptions } from './release.ts';
+
+/** The row with which a router proves how long it has been able to spend beyond the limits of its shares. */
+export interface LivenessRecord extends ReleaseOptions {
+  readonly incarnationId: string;
+  /** Time of the write by the store's clock, or earlier. */
+  readonly writtenAtStoreMs: number;
+}
+
+/** How the previous life of this router ended, as far as the store shows. */
+export interface Predecessor {
+  readonly record: LivenessRecord | undefined;
+  /** The store's time when this life read the record: the previous one had ended. */
+  readonly endedBeforeStoreMs: number;
+}
+
+export interface LivenessStore {
+  /** Undefined if the store did not answer. */
+  read(): Promise<Predecessor | undefined>;
+  /** Returns true once the store holds the record; false if it may or may not. */
+  write(record: LivenessRecord): Promise<boolean>;
+  /** The store's time now, or earlier; undefined before its first answer. */
+  storeTimeMs(): number | undefined;
+}
+
+/** Reads the record of the previous life; must end before the first account is opened. */
+export function* readPredecessor(context: GatewayContext, store: LivenessStore): Task<void> {
+  for (;;) {
+    const predecessor = yield* context.loop.settled(store.read());
+    if (predecessor !== undefined) {
+      context.board.predecessor = predecessor;
+      const { record, endedBeforeStoreMs } = predecessor;
+      context.log(LogLevel.Info, 'previous life read', {
+        previousIncarnation: record?.incarnationId,
+        silentMs: record === undefined ? undefined : Math.round(endedBeforeStoreMs - record.writtenAtStoreMs),
+      });
+      return;
+    }
+    yield* sleepUntil(context.loop.nowMs() + context.options.storeBackoffMs);
+  }
+}
+
+/**
+ * Writes the liveness record. Its basis on the board is the time of the newest record that the store may hold, so
+ * that shares never open sooner than the next life assumes. A new record is only sent while all spending keeps to
+ * the limits that the share rows hold; a try without success is repeated with the same time.
+ */
+export function* keepLiveness(context: GatewayContext, store: LivenessStore): Task<void> {
+  const { board, loop, options, self } = context;
+  let stampMs: number | undefined;
+  while (!board.stopped) {
+    if (stampMs === undefined && accountsWithinLimits(context)) {
+      stampMs = store.storeTimeMs();
+      board.livenessBasisMs = loop.nowMs();
+    }
+    if (stampMs !== undefined) {
+      const held = yield* loop.settled(
+        store.write({ incarnationId: self.incarnationId, writtenAtStoreMs: stampMs, ...options.release }),
+      );
+      stampMs = held ? undefined : stampMs;
+    }
+    yield* sleepUntil(loop.nowMs() + options.livenessPeriodMs);
+  }
+}
+
+function accountsWithinLimits({ board }: GatewayContext): boolean {
+  return [...board.accounts.values()].every(({ ledger }) => ledger.isWithinLimit);
+}
--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -1,17 +1,27 @@
 import { DemandRate } from './demandRate.ts';
 import type { SharePlanOptions } from './planShare.ts';
 import { planShare } from './planShare.ts';
-import type { LedgerChange, LedgerOutcome, LedgerSnapshot } from './types.ts';
+import type { Predecessor } from './liveness.ts';
+import type { ReleaseOptions } from './release.ts';
+import { spendableTokens } from './release.ts';
+import type { LedgerChange, LedgerOutcome, LedgerSnapshot, ShareRecord } from './types.ts';
 import { EMPTY_SNAPSHOT, LedgerOutcomeKind } from './types.ts';
 
-/** Requests after which the largest one is forgotten by half. */
+/** Part of the largest request that is kept at each further one. */
 const LARGEST_REQUEST_DECAY = 0.98;
-
 /**
  * Part of a budget that one router is taken to use each second before its demand is known, so that the first
  * router to draw does not take the shares of the others.
  */
 const PRIOR_DEMAND_PER_SECOND = 0.002;
+/** A limit is raised once less than this part of its headroom is left. */
+const LIMIT_REFRESH_PART = 0.6;
+
+export interface LedgerIdentity {
+  readonly incarnationId: string;
+  readonly predecessor: Predecessor;
+  readonly release: ReleaseOptions;
+}
 
 export interface LedgerPlanInput {
   /** The organisation's budget in force. */
@@ -27,8 +37,11 @@
  * One router's share of one organisation's budget. Tokens are spent only from what the store has debited, so the
  * budget holds whatever happens to this process, its clock or its links.
  *
+ * While the store answers, spending also keeps to a limit in the share's row; while it is silent, the share opens
+ * with time. The next life of the router gives back what this one cannot have spent.
+ *
  * After an unanswered change, the rows either hold it or never will once a later change is committed on the same
- * versions. Until a reply shows the rows, a draw counts as not made and a return as made.
+ * versions. Until a reply shows the rows, the lower amounts of both count.
  */
 export class OrganisationLedger {
   private snapshot: LedgerSnapshot = EMPTY_SNAPSHOT;
@@ -43,13 +56,23 @@
   /** Monotonic time at which the rows were last known; undefined before the first reply. */
   syncedAtMs: number | undefined;
 
-  constructor(nowMs: number) {
+  constructor(
+    private readonly identity: LedgerIdentity,
+    nowMs: number,
+  ) {
     this.ownDemand = new DemandRate(nowMs);
     this.fleetDemand = new DemandRate(nowMs);
   }
 
+  /** Tokens of the share that are neither spent nor reserved. */
   get freeTokens(): number {
-    return this.usableGrantTokens - this.spentTokens - this.reservedTokens;
+    const granted = this.lowestShare(({ grantedTokens }) => grantedTokens);
+    return granted - this.usedTokens;
+  }
+
+  /** True if spending and reservations keep to the limit that the row holds. */
+  get isWithinLimit(): boolean {
+    return this.usedTokens <= this.lowestShare(({ limitTokens }) => limitTokens);
   }
 
   get rows(): LedgerSnapshot {
@@ -66,8 +89,10 @@
     this.largestRequestTokens = Math.max(tokens, this.largestRequestTokens * LARGEST_REQUEST_DECAY);
   }
 
-  tryReserve(tokens: number): boolean {
-    if (this.freeTokens < tokens) {
+  /** @param silentMs time since the newest record of this router that the store may hold. */
+  tryReserve(tokens: number, silentMs: number): boolean {
+    const spendable = this.lowestShare((share) => spendableTokens(share, silentMs, this.identity.release));
+    if (spendable - this.usedTokens < tokens) {
       return false;
     }
     this.reservedTokens += tokens;
@@ -86,41 +111,34 @@
   }
 
   /** The next transaction, or undefined if the rows need not change. */
-  plan(
-    { budgetTokens, neededTokens, routerCount, nowMs }: LedgerPlanInput,
-    options: SharePlanOptions,
-  ): LedgerChange | undefined {
-    const { total, share } = this.snapshot;
-    const settledDelta = this.spentTokens - share.settledTokens;
+  plan(input: LedgerPlanInput, options: SharePlanOptions): LedgerChange | undefined {
+    const { budgetTokens, neededTokens, routerCount, nowMs } = input;
+    const { total } = this.snapshot;
     const fleetDemand = this.fleetDemand.perSecond(nowMs);
     const ownDemand = this.ownDemand.perSecond(nowMs);
     const prior = budgetTokens * PRIOR_DEMAND_PER_SECOND;
     const delta = planShare(
       {
-        freeTokens: this.freeTokens,
-        neededTokens,
+        freeTokens: Math.max(0, this.freeTokens),
+        neededTokens: Math.max(0, neededTokens - Math.max(0, this.freeTokens)),
         largestRequestTokens: this.largestRequestTokens,
         demandTokensPerSecond: ownDemand,
         demandPart: (ownDemand + prior) / (Math.max(fleetDemand, ownDemand) + prior * routerCount),
         budgetTokens,
-        total: {
-          grantedTokens: total.grantedTokens,
-          settledTokens: total.settledTokens + settledDelta + this.reservedTokens,
-        },
+        grantedTokens: total.grantedTokens - this.recoverableTokens,
+        leftTokens: budgetTokens - total.settledTokens - total.strandedTokens,
       },
       options,
     );
-    if (delta === 0 && settledDelta === 0 && this.syncedAtMs !== undefined) {
-      return undefined;
-    }
-    return this.changeBy(delta, settledDelta);
+    const headroomTokens = (ownDemand * options.limitHorizonMs) / 1_000 + this.largestRequestTokens;
+    const change = this.changeBy(delta, this.usedTokens + Math.max(headroomTokens, neededTokens));
+    return this.isNeeded(change, headroomTokens, neededTokens) ? change : undefined;
   }
 
-  /** Returns everything that is not reserved; used when the router stops. */
+  /** Returns everything that is not in use; for a router that stops. */
   planReturn(): LedgerChange | undefined {
-    const settledDelta = this.spentTokens - this.snapshot.share.settledTokens;
-    const free = Math.max(0, this.freeTokens);
-    return free === 0 && settledDelta === 0 ? undefined : this.changeBy(-free, settledDelta);
+    const change = this.changeBy(-Math.max(0, this.freeTokens), this.usedTokens);
+    return this.isNeeded(change, 0, 0) ? change : undefined;
   }
 
   /** Must be called before the change is sent: a return leaves the share before its outcome is known. */
@@ -161,25 +179,72 @@
     this.settledSeenTokens = settled;
   }
 
-  private get usableGrantTokens(): number {
+  private get usedTokens(): number {
+    return this.spentTokens + this.reservedTokens;
+  }
+
+  /** The row of this life; undefined while the row is missing or belongs to an earlier life. */
+  private get ownShare(): ShareRecord | undefined {
+    const { share } = this.snapshot;
+    return share?.incarnationId === this.identity.incarnationId ? share : undefined;
+  }
+
+  /** Tokens that an earlier life cannot have spent. */
+  private get recoverableTokens(): number {
+    const { share } = this.snapshot;
+    if (share === undefined || share.incarnationId === this.identity.incarnationId) {
+      return 0;
+    }
+    const { record, endedBeforeStoreMs } = this.identity.predecessor;
+    if (record?.incarnationId !== share.incarnationId) {
+      return 0;
+    }
+    const spendable = spendableTokens(share, endedBeforeStoreMs - record.writtenAtStoreMs, record);
+    return Math.max(0, share.grantedTokens - Math.max(spendable, share.settledTokens));
+  }
+
+  /** The lowest amount among the row and the changes that may replace it; 0 without a row of this life. */
+  private lowestShare(amount: (share: ShareRecord) => number): number {
+    const own = this.ownShare;
     return this.unanswered.reduce(
-      (lowest, { share }) => Math.min(lowest, share.grantedTokens),
-      this.snapshot.share.grantedTokens,
+      (lowest, { share }) => Math.min(lowest, amount(share)),
+      own === undefined ? 0 : amount(own),
     );
   }
 
-  private changeBy(deltaTokens: number, settledDeltaTokens: number): LedgerChange {
+  private changeBy(deltaTokens: number, limitTokens: number): LedgerChange {
     const { total, share } = this.snapshot;
+    const own = this.ownShare;
+    const recovered = this.recoverableTokens;
+    const stranded =
+      own === undefined && share !== undefined ? share.grantedTokens - recovered - share.settledTokens : 0;
+    const grantedTokens = (own?.grantedTokens ?? 0) + deltaTokens;
     return {
       base: this.snapshot,
       total: {
-        grantedTokens: total.grantedTokens + deltaTokens,
-        settledTokens: total.settledTokens + settledDeltaTokens,
+        grantedTokens: total.grantedTokens - recovered + deltaTokens,
+        settledTokens: total.settledTokens + this.spentTokens - (own?.settledTokens ?? 0),
+        strandedTokens: total.strandedTokens + stranded,
       },
       share: {
-        grantedTokens: share.grantedTokens + deltaTokens,
-        settledTokens: share.settledTokens + settledDeltaTokens,
+        incarnationId: this.identity.incarnationId,
+        grantedTokens,
+        settledTokens: this.spentTokens,
+        limitTokens: Math.min(grantedTokens, Math.ceil(limitTokens)),
       },
     };
   }
+
+  /** True if the change moves tokens, reports spending, or raises a limit that is nearly used. */
+  private isNeeded(change: LedgerChange, headroomTokens: number, neededTokens: number): boolean {
+    const own = this.ownShare;
+    if (own === undefined || this.syncedAtMs === undefined) {
+      return true;
+    }
+    const moves =
+      change.share.grantedTokens !== own.grantedTokens || change.share.settledTokens !== own.settledTokens;
+    const limitLeft = own.limitTokens - this.usedTokens;
+    const lacksLimit = limitLeft < Math.max(headroomTokens * LIMIT_REFRESH_PART, neededTokens);
+    return moves || (lacksLimit && change.share.limitTokens > own.limitTokens);
+  }
 }
--- a/packages/gateway/src/money/planShare.ts
+++ b/packages/gateway/src/money/planShare.ts
@@ -1,5 +1,3 @@
-import type { BudgetTotal } from './types.ts';
-
 export interface SharePlanOptions {
   /** Time for which a share lasts at the present demand: a store outage of eight seconds and some growth. */
   readonly horizonMs: number;
@@ -7,12 +5,18 @@
   readonly heldFraction: number;
   /** Free tokens above the target by this factor flow back. */
   readonly returnFactor: number;
+  /**
+   * Time for which the limit of a share lasts: until a share opens in the silence of the store, and one settlement
+   * more. What lies within the limit is lost when all routers are killed.
+   */
+  readonly limitHorizonMs: number;
 }
 
 export const DEFAULT_SHARE_PLAN: SharePlanOptions = {
   horizonMs: 12_000,
-  heldFraction: 0.9,
-  returnFactor: 1.6,
+  heldFraction: 0.8,
+  returnFactor: 1.3,
+  limitHorizonMs: 2_000,
 };
 
 export interface SharePlanInput {
@@ -28,7 +32,10 @@
   readonly demandPart: number;
   /** The organisation's budget in force. */
   readonly budgetTokens: number;
-  readonly total: BudgetTotal;
+  /** Tokens debited from the budget by all routers. */
+  readonly grantedTokens: number;
+  /** Tokens that no router has spent or lost. */
+  readonly leftTokens: number;
 }
 
 /**
@@ -36,16 +43,15 @@
  * lasts for the horizon, but never takes more than this router's part of what is left.
  */
 export function planShare(input: SharePlanInput, options: SharePlanOptions): number {
-  const { freeTokens, neededTokens, total, budgetTokens } = input;
-  const room = budgetTokens - total.grantedTokens;
+  const { freeTokens, neededTokens, grantedTokens, budgetTokens } = input;
+  const room = budgetTokens - grantedTokens;
   if (room < 0) {
     // The budget was cut below what is drawn: what is free goes back first.
     return -Math.min(freeTokens, -room);
   }
-  const left = Math.max(0, budgetTokens - total.settledTokens);
   const horizonTokens = (input.demandTokensPerSecond * options.horizonMs) / 1_000;
   const wanted = horizonTokens + input.largestRequestTokens;
-  const cap = left * options.heldFraction * input.demandPart;
+  const cap = input.leftTokens * options.heldFraction * input.demandPart;
   const target = Math.floor(Math.min(wanted, Math.max(cap, 0)));
   const missing = Math.max(target - freeTokens, 0);
   const draw = Math.min(Math.max(missing, neededTokens), room);
--- a/packages/gateway/src/money/types.ts
+++ b/packages/gateway/src/money/types.ts
@@ -1,16 +1,22 @@
 /** An organisation's totals over all routers, as its row in the store holds them. */
 export interface BudgetTotal {
-  /** Tokens debited from the budget: spent by routers or still in their shares. */
+  /** Tokens debited from the budget: spent by routers, in their shares, or stranded. */
   readonly grantedTokens: number;
   /** Tokens that routers have reported as spent; the true figure is this or more. */
   readonly settledTokens: number;
+  /** Tokens of dead routers that may have been spent without a report. */
+  readonly strandedTokens: number;
 }
 
-/** What one incarnation of a router has drawn from a budget. */
+/** What a router has drawn from a budget in its present life. */
 export interface ShareRecord {
+  /** Life of the router that the amounts belong to. */
+  readonly incarnationId: string;
   /** Tokens drawn so far, less those returned. */
   readonly grantedTokens: number;
   readonly settledTokens: number;
+  /** Tokens that the router may have spent in all, unless the store is silent (release.ts). */
+  readonly limitTokens: number;
 }
 
 /** Both rows with the versions that a change must expect; version 0 stands for a row that does not exist. */
@@ -18,7 +24,8 @@
   readonly totalVersion: number;
   readonly total: BudgetTotal;
   readonly shareVersion: number;
-  readonly share: ShareRecord;
+  /** Undefined if the router has no row yet. */
+  readonly share: ShareRecord | undefined;
 }
 
 /** One transaction on the two rows. */
@@ -50,9 +57,11 @@
   commit(organisationName: string, change: LedgerChange): Promise<LedgerOutcome>;
 }
 
+export const EMPTY_TOTAL: BudgetTotal = { grantedTokens: 0, settledTokens: 0, strandedTokens: 0 };
+
 export const EMPTY_SNAPSHOT: LedgerSnapshot = {
   totalVersion: 0,
-  total: { grantedTokens: 0, settledTokens: 0 },
+  total: EMPTY_TOTAL,
   shareVersion: 0,
-  share: { grantedTokens: 0, settledTokens: 0 },
+  share: undefined,
 };
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -2,6 +2,7 @@
 import { err, ok } from 'neverthrow';
 import type { SharePlanOptions } from './money/planShare.ts';
 import { DEFAULT_SHARE_PLAN } from './money/planShare.ts';
+import type { ReleaseOptions } from './money/release.ts';
 import type { PlacementOptions } from './placement/options.ts';
 import { DEFAULT_PLACEMENT } from './placement/options.ts';
 
@@ -18,6 +19,11 @@
   /** Conflicts in a row after which a change waits for its next turn, so that routers do not block each other. */
   readonly ledgerConflictTries: number;
   readonly sharePlan: SharePlanOptions;
+  /** Period of the liveness record. */
+  readonly livenessPeriodMs: number;
+  readonly release: ReleaseOptions;
+  /** Organisations up to which a router opens all accounts at its start, to recover its earlier life's shares. */
+  readonly eagerAccounts: number;
   /** Longest wait for tokens, as a part of the time within which the answer is on time. */
   readonly budgetWaitTargetPart: number;
   readonly placement: PlacementOptions;
@@ -50,6 +56,9 @@
   storeBackoffMaxMs: 500,
   ledgerConflictTries: 6,
   sharePlan: DEFAULT_SHARE_PLAN,
+  livenessPeriodMs: 400,
+  release: { graceMs: 1_000, releaseMs: 6_000 },
+  eagerAccounts: 100,
   budgetWaitTargetPart: 0.4,
   placement: DEFAULT_PLACEMENT,
   retryRatio: 0.1,
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -39,6 +39,9 @@
   readonly call: UpstreamCall;
   readonly splitter: EventSplitter | undefined;
   head: UpstreamHead | undefined;
+  /** Parts of a plain answer that the caller gets once it is whole. */
+  held: Buffer[];
+  heldBytes: number;
   heardMs: number;
   prefillCounted: boolean;
 }
@@ -105,6 +108,8 @@
     call,
     splitter: request.route.kind === RouteKind.Streaming ? new EventSplitter() : undefined,
     head: undefined,
+    held: [],
+    heldBytes: 0,
     heardMs: nowMs,
     prefillCounted: true,
   };
@@ -263,7 +268,7 @@
 ): void {
   const isEvents = progress.splitter !== undefined && progress.head?.status === 200;
   if (!isEvents) {
-    deliver(context, request, progress, data);
+    holdData(context, request, progress, data);
     return;
   }
   const split = progress.splitter.push(data);
@@ -277,6 +282,30 @@
   deliver(context, request, progress, split.data);
 }
 
+/** Plain answers up to this size go to the caller once they are whole, so that a broken one can be repeated. */
+const MAX_HELD_ANSWER_BYTES = 65_536;
+
+function holdData(
+  context: GatewayContext,
+  request: ServedRequest,
+  progress: AttemptProgress,
+  data: Buffer,
+): void {
+  progress.held.push(data);
+  progress.heldBytes += data.length;
+  if (progress.heldBytes > MAX_HELD_ANSWER_BYTES) {
+    deliverHeld(context, request, progress);
+  }
+}
+
+function deliverHeld(context: GatewayContext, request: ServedRequest, progress: AttemptProgress): void {
+  const { held } = progress;
+  progress.held = [];
+  for (const data of held) {
+    deliver(context, request, progress, data);
+  }
+}
+
 function deliver(
   context: GatewayContext,
   request: ServedRequest,
@@ -306,6 +335,7 @@
   if (rest !== undefined && rest.length > 0) {
     deliver(context, request, progress, rest);
   }
+  deliverHeld(context, request, progress);
   startAnswer(context, request, progress);
   if ((progress.head?.status ?? FIRST_SERVER_ERROR_STATUS) < FIRST_SERVER_ERROR_STATUS) {
     progress.placement.upstream.recordSuccess();
--- a/packages/gateway/src/requests/servedRequest.ts
+++ b/packages/gateway/src/requests/servedRequest.ts
@@ -41,7 +41,8 @@
 export function isRepeatable(request: ServedRequest): boolean {
   switch (request.route.kind) {
     case RouteKind.Safe:
-      return true;
+      // A part that the caller has cannot be joined with the answer of another upstream.
+      return !request.started;
     case RouteKind.Unsafe:
       return false;
     case RouteKind.Streaming:
