Lend tokens between routers, and notice the store's return sooner

Change: routers ask up to three peers for a loan, which the lender debits first; connections to the store open within 250 ms or are given up; accounts and the liveness record go on at once when the store is back.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from '@pimentostall/core';
 import type { GatewayBoard } from './blackboard.ts';
+import type { PeerPort } from './money/lending.ts';
 import type { LedgerStore } from './money/types.ts';
 import type { Log } from './observability/log.ts';
 import type { GatewayMetrics } from './observability/metrics.ts';
@@ -17,6 +18,7 @@
   /** This router. */
   readonly self: RouterEntry;
   readonly ledgerStore: LedgerStore;
+  readonly peerPort: PeerPort;
   readonly upstreamPort: UpstreamPort;
   readonly log: Log;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,8 @@
   settleTokens,
   wakeAccount,
 } from './money/ledgerController.ts';
+export type { LoanRequest, PeerPort } from './money/lending.ts';
+export { lendTokens } from './money/lending.ts';
 export type { LivenessRecord, LivenessStore, Predecessor } from './money/liveness.ts';
 export { keepLiveness, readPredecessor } from './money/liveness.ts';
 export type { ReleaseOptions } from './money/release.ts';
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -3,6 +3,7 @@
 import type { GatewayBoard } from '../blackboard.ts';
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
+import { borrowTokens } from './lending.ts';
 import { OrganisationLedger } from './organisationLedger.ts';
 import type { LedgerChange } from './types.ts';
 import { LedgerOutcomeKind } from './types.ts';
@@ -29,6 +30,9 @@
   readonly waiters: Set<Waiter>;
   /** Number of replies of the store, so that a waiter sees that a reply came after it began to wait. */
   replies: number;
+  /** True while other routers are asked for a loan. */
+  borrowing: boolean;
+  lastBorrowMs: number;
 }
 
 /** Returns the account of an organisation and starts its task at the first use. */
@@ -50,6 +54,8 @@
     wake: new Channel<true>(),
     waiters: new Set(),
     replies: 0,
+    borrowing: false,
+    lastBorrowMs: 0,
   };
   context.board.accounts.set(organisationName, account);
   context.loop.spawn(`ledger ${organisationName}`, keepAccount(context, account));
@@ -69,12 +75,19 @@
     return ReserveOutcomeKind.Reserved;
   }
   const waiter: Waiter = { tokens, woken: new Channel<true>() };
+  account.lastBorrowMs = Math.max(
+    account.lastBorrowMs,
+    context.loop.nowMs() + context.options.firstBorrowMs - context.options.borrowPauseMs,
+  );
   account.waiters.add(waiter);
   try {
     wakeAccount(context, account);
     const repliesBefore = account.replies;
     while (context.loop.nowMs() < waitUntilMs) {
-      yield* receive(waiter.woken, waitUntilMs);
+      const woken = yield* receive(waiter.woken, Math.min(waitUntilMs, borrowAtMs(context, account)));
+      if (woken === undefined && !account.borrowing) {
+        yield* borrowForWaiters(context, account);
+      }
       if (tryReserve(context, account, tokens)) {
         return ReserveOutcomeKind.Reserved;
       }
@@ -89,6 +102,24 @@
   }
 }
 
+/** Time at which waiting requests ask other routers: the store has then had the time of two answers. */
+function borrowAtMs(context: GatewayContext, account: LedgerAccount): number {
+  return account.borrowing ? Infinity : account.lastBorrowMs + context.options.borrowPauseMs;
+}
+
+function* borrowForWaiters(context: GatewayContext, account: LedgerAccount): Task<void> {
+  account.borrowing = true;
+  try {
+    const smallest = Math.min(...[...account.waiters].map(({ tokens }) => tokens));
+    if (yield* borrowTokens(context, account, smallest)) {
+      wakeWaiters(context, account);
+    }
+  } finally {
+    account.borrowing = false;
+    account.lastBorrowMs = context.loop.nowMs();
+  }
+}
+
 /** Ends a reservation with what was spent, and lets waiting requests try again. */
 export function settleTokens(
   context: GatewayContext,
--- a/packages/gateway/src/money/liveness.ts
+++ b/packages/gateway/src/money/liveness.ts
@@ -63,7 +63,11 @@
       );
       stampMs = held ? undefined : stampMs;
     }
-    yield* sleepUntil(loop.nowMs() + options.livenessPeriodMs);
+    const pauseMs =
+      stampMs === undefined && !accountsWithinLimits(context)
+        ? options.livenessRetryMs
+        : options.livenessPeriodMs;
+    yield* sleepUntil(loop.nowMs() + pauseMs);
   }
 }
 
--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -91,14 +91,30 @@
 
   /** @param silentMs time since the newest record of this router that the store may hold. */
   tryReserve(tokens: number, silentMs: number): boolean {
-    const spendable = this.lowestShare((share) => spendableTokens(share, silentMs, this.identity.release));
-    if (spendable - this.usedTokens < tokens) {
+    if (this.spendableFreeTokens(silentMs) < tokens) {
       return false;
     }
     this.reservedTokens += tokens;
     return true;
   }
 
+  /** Tokens that could be reserved now. */
+  spendableFreeTokens(silentMs: number): number {
+    return (
+      this.lowestShare((share) => spendableTokens(share, silentMs, this.identity.release)) - this.usedTokens
+    );
+  }
+
+  /** Tokens that this router's requests have asked for in a time like this of late. */
+  demandTokens(periodMs: number, nowMs: number): number {
+    return (this.ownDemand.perSecond(nowMs) * periodMs) / 1_000;
+  }
+
+  /** Takes over tokens that another router counts as spent: they offset this router's own spending. */
+  receiveLoan(tokens: number): void {
+    this.spentTokens -= tokens;
+  }
+
   /** Replaces a reservation by what was spent; the rest is free again. */
   settle(reservedTokens: number, spentTokens: number): void {
     this.reservedTokens -= reservedTokens;
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -21,9 +21,15 @@
   readonly sharePlan: SharePlanOptions;
   /** Period of the liveness record. */
   readonly livenessPeriodMs: number;
+  /** Pause before a record that had to wait for a share's row is tried again. */
+  readonly livenessRetryMs: number;
   readonly release: ReleaseOptions;
   /** Organisations up to which a router opens all accounts at its start, to recover its earlier life's shares. */
   readonly eagerAccounts: number;
+  /** Time that the store has to answer a draw before other routers are asked: three of its usual answers. */
+  readonly firstBorrowMs: number;
+  /** Pause between rounds of asking other routers. */
+  readonly borrowPauseMs: number;
   /** Longest wait for tokens, as a part of the time within which the answer is on time. */
   readonly budgetWaitTargetPart: number;
   readonly placement: PlacementOptions;
@@ -53,13 +59,16 @@
   settlePeriodMs: 700,
   redrawDelayMs: 15,
   storeBackoffMs: 50,
-  storeBackoffMaxMs: 500,
+  storeBackoffMaxMs: 250,
   ledgerConflictTries: 6,
   sharePlan: DEFAULT_SHARE_PLAN,
   livenessPeriodMs: 400,
+  livenessRetryMs: 100,
   release: { graceMs: 1_000, releaseMs: 6_000 },
   eagerAccounts: 100,
-  budgetWaitTargetPart: 0.4,
+  firstBorrowMs: 20,
+  borrowPauseMs: 150,
+  budgetWaitTargetPart: 0.2,
   placement: DEFAULT_PLACEMENT,
   retryRatio: 0.1,
   retryWindowMs: 10_000,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -103,6 +103,8 @@
   readonly incarnationId: string;
   /** `host:port` that callers connect to. */
   readonly callerAddress: string;
+  /** `host:port` that other routers connect to. */
+  readonly peerAddress: string;
   readonly region: string;
   readonly availabilityZone: string;
   readonly ready: boolean;
