Keep less of a share within its limit

Cause: the limit held the largest request of late, so that all of a nearly used share lay within it and was stranded when all routers were killed. Change: the limit covers 1.2 s of demand; a larger request raises it at once; shares are settled once a second.

--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -146,7 +146,7 @@
       },
       options,
     );
-    const headroomTokens = (ownDemand * options.limitHorizonMs) / 1_000 + this.largestRequestTokens;
+    const headroomTokens = (ownDemand * options.limitHorizonMs) / 1_000;
     const change = this.changeBy(delta, this.usedTokens + Math.max(headroomTokens, neededTokens));
     return this.isNeeded(change, headroomTokens, neededTokens) ? change : undefined;
   }
--- a/packages/gateway/src/money/planShare.ts
+++ b/packages/gateway/src/money/planShare.ts
@@ -6,8 +6,8 @@
   /** Free tokens above the target by this factor flow back. */
   readonly returnFactor: number;
   /**
-   * Time for which the limit of a share lasts: until a share opens in the silence of the store, and one settlement
-   * more. What lies within the limit is lost when all routers are killed.
+   * Time for which the limit of a share lasts at the present demand: until a share opens in the silence of the
+   * store. What lies within the limit is lost when all routers are killed; a larger request raises it at once.
    */
   readonly limitHorizonMs: number;
 }
@@ -16,7 +16,7 @@
   horizonMs: 12_000,
   heldFraction: 0.8,
   returnFactor: 1.3,
-  limitHorizonMs: 2_000,
+  limitHorizonMs: 1_200,
 };
 
 export interface SharePlanInput {
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -8,7 +8,7 @@
 
 /** Every time and limit of the gateway. Bounds that the operator promises replace the defaults at the start. */
 export interface GatewayOptions {
-  /** Period in which a share is settled and brought to its target: two for each second of stranded spending. */
+  /** Period in which a share is settled and brought to its target: the others see spending within a second. */
   readonly settlePeriodMs: number;
   /** Pause between draws while requests wait: two answers of the store. */
   readonly redrawDelayMs: number;
@@ -56,7 +56,7 @@
 }
 
 export const DEFAULT_OPTIONS: GatewayOptions = {
-  settlePeriodMs: 700,
+  settlePeriodMs: 1_000,
   redrawDelayMs: 15,
   storeBackoffMs: 50,
   storeBackoffMaxMs: 250,
