Follow the engines' cache events for placement

Change: each router waits for the cache events of each engine that it may follow, and reckons uncached tokens from them.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -25,6 +25,8 @@
 export { GatewayMetrics } from './observability/metrics.ts';
 export type { GatewayOptions } from './options.ts';
 export { createOptions, DEFAULT_OPTIONS } from './options.ts';
+export type { CacheChange } from './placement/cacheView.ts';
+export { CacheView } from './placement/cacheView.ts';
 export type { Placement, PlacementPlace, PlacementRequest } from './placement/chooseUpstream.ts';
 export { chooseUpstream } from './placement/chooseUpstream.ts';
 export type { PlacementOptions } from './placement/options.ts';
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -26,11 +26,8 @@
   readonly uncachedTokens: number;
 }
 
-/**
- * Part of a shared prompt that counts as cached on a home engine which this router has not used for it: other
- * routers choose the same homes, the first one most of all.
- */
-const HOME_CACHED_PARTS = [0.95, 0.5];
+/** Part of a shared prompt that counts as cached on its first home while that engine's events are unknown. */
+const HOME_CACHED_PART = 0.9;
 
 /**
  * Chooses the upstream with the least expected time to the first token. Answers load with long shared prompts: all
@@ -90,8 +87,9 @@
   const { promptParts, promptTokens } = request;
   const sharedTokens = promptParts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
   const homeRank = homes.indexOf(upstream.entry.upstreamId);
-  const expectedShared = homeRank < 0 ? 0 : sharedTokens * (HOME_CACHED_PARTS[homeRank] ?? 0);
+  const expectedShared = homeRank === 0 && !upstream.cache.known ? sharedTokens * HOME_CACHED_PART : 0;
   const cached = Math.max(expectedShared, upstream.cachedTokens(promptParts, nowMs));
+  const preferenceMs = homeRank < 0 ? 0 : options.homePreferenceMs / (1 + homeRank);
   const uncachedTokens = Math.max(0, promptTokens - cached);
   const readTokens = uncachedTokens + upstream.pendingPrefillTokens;
   const costMs =
@@ -99,7 +97,8 @@
     upstream.inFlight * options.batchCostMs +
     distanceCostMs(upstream, place, options) +
     upstream.failureRate * options.failureCostMs +
-    (upstream.entry.warmupLeftMs > 0 ? options.otherRegionCostMs : 0);
+    (upstream.entry.warmupLeftMs > 0 ? options.otherRegionCostMs : 0) -
+    preferenceMs;
   return { upstream, costMs, uncachedTokens };
 }
 
--- a/packages/gateway/src/placement/options.ts
+++ b/packages/gateway/src/placement/options.ts
@@ -12,6 +12,10 @@
   readonly failureCostMs: number;
   /** Time after which a part that was not used counts as gone from an engine's memory. */
   readonly partMemoryMs: number;
+  /** Time after which an engine's events must have told of a part that was sent to it. */
+  readonly eventLagMs: number;
+  /** Preference for the home of a part that no engine holds, so that routers that do not talk choose alike. */
+  readonly homePreferenceMs: number;
   /** First and longest time for which an upstream that failed several times in a row is left out. */
   readonly ejectionMs: number;
   readonly ejectionMaxMs: number;
@@ -27,6 +31,8 @@
   otherRegionCostMs: 25,
   failureCostMs: 600,
   partMemoryMs: 10_000,
+  eventLagMs: 1_500,
+  homePreferenceMs: 40,
   ejectionMs: 500,
   ejectionMaxMs: 4_000,
   ejectionFailures: 3,
--- a/packages/gateway/src/placement/upstreamView.ts
+++ b/packages/gateway/src/placement/upstreamView.ts
@@ -1,5 +1,6 @@
 import type { PromptPart, UpstreamEntry } from '../types.ts';
 import { UpstreamState } from '../types.ts';
+import { CacheView } from './cacheView.ts';
 import type { PlacementOptions } from './options.ts';
 
 /** Weight of the newest outcome in an upstream's failure rate. */
@@ -19,6 +20,7 @@
   ejectedUntilMs = 0;
   /** Part of its recent requests that failed, 0 to 1. */
   failureRate = 0;
+  readonly cache = new CacheView();
   private failuresInRow = 0;
   private readonly partUsedMs = new Map<string, number>();
 
@@ -63,12 +65,20 @@
     }
   }
 
-  /** Tokens of the leading parts that this router has sent here of late. */
+  /**
+   * Tokens of the leading parts that the engine should hold: by its events, or because this router has sent them
+   * here so recently that the events may not have arrived.
+   */
   cachedTokens(parts: readonly PromptPart[], nowMs: number): number {
+    const memoryMs = this.cache.known ? this.options.eventLagMs : this.options.partMemoryMs;
+    return Math.max(this.cache.cachedTokens(parts), this.sentTokens(parts, nowMs - memoryMs));
+  }
+
+  private sentTokens(parts: readonly PromptPart[], sinceMs: number): number {
     let tokens = 0;
     for (const part of parts) {
       const usedMs = this.partUsedMs.get(part.partId);
-      if (usedMs === undefined || nowMs - usedMs > this.options.partMemoryMs) {
+      if (usedMs === undefined || usedMs < sinceMs) {
         break;
       }
       tokens += part.tokens;
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -41,6 +41,8 @@
   readonly kvCapacityTokens: number;
   /** Tokens that one event of a stream holds. */
   readonly tokensPerEvent: number;
+  /** Routers that may wait for an engine's cache events at the same time. */
+  readonly maxCacheFollowers: number;
 }
 
 export interface ServiceDefinition {
