Open shares sooner in the store's silence and lend in parts

Change: shares open within 2.5 s after one second of silence and last 20 s; loans add up and count as the lender's demand.

--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -110,8 +110,12 @@
 function* borrowForWaiters(context: GatewayContext, account: LedgerAccount): Task<void> {
   account.borrowing = true;
   try {
-    const smallest = Math.min(...[...account.waiters].map(({ tokens }) => tokens));
-    if (yield* borrowTokens(context, account, smallest)) {
+    const smallestTokens = Math.min(...[...account.waiters].map(({ tokens }) => tokens));
+    const spendableTokens = account.ledger.spendableFreeTokens(
+      context.loop.nowMs() - context.board.livenessBasisMs,
+    );
+    const neededTokens = smallestTokens - Math.max(0, spendableTokens);
+    if (neededTokens > 0 && (yield* borrowTokens(context, account, neededTokens))) {
       wakeWaiters(context, account);
     }
   } finally {
--- a/packages/gateway/src/money/lending.ts
+++ b/packages/gateway/src/money/lending.ts
@@ -18,10 +18,12 @@
   borrow(peer: RouterEntry, request: LoanRequest): Promise<number>;
 }
 
-/** Peers asked for one loan, nearest first: more would take longer than a caller's patience. */
-const MAX_PEERS_ASKED = 3;
+/** Peers asked in one round, nearest first: more would take longer than a caller's patience. */
+const MAX_PEERS_ASKED = 5;
 /** Time of its own demand that a lender keeps back, and that a borrower asks for beyond its need. */
-const DEMAND_KEPT_MS = 2_000;
+const DEMAND_KEPT_MS = 500;
+/** Part of the need that a single loan must cover; several loans may add up. */
+const LEAST_LOAN_PART = 0.25;
 
 /**
  * Borrows tokens for waiting requests. Answers load that finds one router's share empty while others hold more than
@@ -31,16 +33,23 @@
 export function* borrowTokens(
   context: GatewayContext,
   account: LedgerAccount,
-  leastTokens: number,
+  neededTokens: number,
 ): Task<boolean> {
   const { loop, log, peerPort } = context;
-  const wantedTokens = Math.ceil(leastTokens + account.ledger.demandTokens(DEMAND_KEPT_MS, loop.nowMs()));
-  const request: LoanRequest = { organisationName: account.organisationName, leastTokens, wantedTokens };
+  let missingTokens = neededTokens;
   for (const peer of choosePeers(context)) {
+    const request: LoanRequest = {
+      organisationName: account.organisationName,
+      leastTokens: Math.ceil(missingTokens * LEAST_LOAN_PART),
+      wantedTokens: Math.ceil(missingTokens + account.ledger.demandTokens(DEMAND_KEPT_MS, loop.nowMs())),
+    };
     const tokens = yield* loop.settled(peerPort.borrow(peer, request));
     log(LogLevel.Debug, 'loan asked for', { ...request, peer: peer.routerId, borrowedTokens: tokens });
     if (tokens > 0) {
       account.ledger.receiveLoan(tokens);
+      missingTokens -= tokens;
+    }
+    if (missingTokens <= 0) {
       return true;
     }
   }
@@ -59,6 +68,7 @@
     return 0;
   }
   ledger.settle(tokens, tokens);
+  ledger.recordDemand(tokens, loop.nowMs());
   log(LogLevel.Debug, 'loan given', { ...request, lentTokens: tokens });
   return tokens;
 }
--- a/packages/gateway/src/money/planShare.ts
+++ b/packages/gateway/src/money/planShare.ts
@@ -1,5 +1,5 @@
 export interface SharePlanOptions {
-  /** Time for which a share lasts at the present demand: a store outage of eight seconds and some growth. */
+  /** Time for which a share lasts at the present demand: two store outages of eight seconds, or a burst in one. */
   readonly horizonMs: number;
   /** Part of the money left that all routers together may hold, by their parts of the demand. */
   readonly heldFraction: number;
@@ -13,7 +13,7 @@
 }
 
 export const DEFAULT_SHARE_PLAN: SharePlanOptions = {
-  horizonMs: 12_000,
+  horizonMs: 20_000,
   heldFraction: 0.8,
   returnFactor: 1.3,
   limitHorizonMs: 1_200,
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -64,7 +64,7 @@
   sharePlan: DEFAULT_SHARE_PLAN,
   livenessPeriodMs: 400,
   livenessRetryMs: 100,
-  release: { graceMs: 1_000, releaseMs: 6_000 },
+  release: { graceMs: 1_000, releaseMs: 2_500 },
   eagerAccounts: 100,
   firstBorrowMs: 20,
   borrowPauseMs: 150,
