Recover from the store's silence faster, and resolve doubtful changes

Change: an unanswered change always leads to another one; stuck calls end with the first answer; shares keep to their limits again after their own sync; shares open by demand, fragments flow back, lenders draw for loans.

--- a/packages/gateway/src/http/peerLoans.ts
+++ b/packages/gateway/src/http/peerLoans.ts
@@ -1,5 +1,6 @@
-import type { Server } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
+import type { Task } from '@pimentostall/core';
 import { Agent, request } from 'undici';
 import type { GatewayContext } from '../context.ts';
 import { openAccount } from '../money/ledgerController.ts';
@@ -61,19 +62,22 @@
         response.end();
         return;
       }
-      const budgeted = context.board.configuration?.organisations.get(loan.organisationName)?.reservedTokens;
-      const tokens =
-        budgeted === undefined ? 0 : lendTokens(context, openAccount(context, loan.organisationName), loan);
-      const body = JSON.stringify({ tokens });
-      response.writeHead(200, {
-        'Content-Type': 'application/json',
-        'Content-Length': Buffer.byteLength(body),
-      });
-      response.end(body);
+      context.loop.spawn('loan', answerLoan(context, loan, response));
     });
   });
 }
 
+function* answerLoan(context: GatewayContext, loan: LoanRequest, response: ServerResponse): Task<void> {
+  const budgeted = context.board.configuration?.organisations.get(loan.organisationName)?.reservedTokens;
+  const tokens =
+    budgeted === undefined
+      ? 0
+      : yield* lendTokens(context, openAccount(context, loan.organisationName), loan);
+  const body = JSON.stringify({ tokens });
+  response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) });
+  response.end(body);
+}
+
 function decodeLoan(text: string): LoanRequest | undefined {
   let fields: Partial<Record<keyof LoanRequest, unknown>>;
   try {
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -62,12 +62,18 @@
   return account;
 }
 
+export interface ReserveOptions {
+  readonly waitUntilMs: number;
+  /** False for a loan: a lender only draws, so that routers do not ask each other in a circle. */
+  readonly mayBorrow: boolean;
+}
+
 /** Reserves tokens, drawing from the budget and waiting a bounded time if the share is short. */
 export function* reserveTokens(
   context: GatewayContext,
   account: LedgerAccount,
   tokens: number,
-  waitUntilMs: number,
+  { waitUntilMs, mayBorrow }: ReserveOptions,
 ): Task<ReserveOutcomeKind> {
   const { ledger } = account;
   ledger.recordDemand(tokens, context.loop.nowMs());
@@ -84,8 +90,9 @@
     wakeAccount(context, account);
     const repliesBefore = account.replies;
     while (context.loop.nowMs() < waitUntilMs) {
-      const woken = yield* receive(waiter.woken, Math.min(waitUntilMs, borrowAtMs(context, account)));
-      if (woken === undefined && !account.borrowing) {
+      const borrowMs = mayBorrow ? borrowAtMs(context, account) : Infinity;
+      const woken = yield* receive(waiter.woken, Math.min(waitUntilMs, borrowMs));
+      if (woken === undefined && mayBorrow && !account.borrowing) {
         yield* borrowForWaiters(context, account);
       }
       if (tryReserve(context, account, tokens)) {
@@ -111,9 +118,7 @@
   account.borrowing = true;
   try {
     const smallestTokens = Math.min(...[...account.waiters].map(({ tokens }) => tokens));
-    const spendableTokens = account.ledger.spendableFreeTokens(
-      context.loop.nowMs() - context.board.livenessBasisMs,
-    );
+    const spendableTokens = account.ledger.spendableFreeTokens(silentMs(context, account));
     const neededTokens = smallestTokens - Math.max(0, spendableTokens);
     if (neededTokens > 0 && (yield* borrowTokens(context, account, neededTokens))) {
       wakeWaiters(context, account);
@@ -135,11 +140,19 @@
   wakeWaiters(context, account);
 }
 
+/**
+ * Time of the store's silence by which a share may open: bounded by the liveness record, which the next life relies
+ * on, and by the share's own last change, so that shares keep to their limits again once the store is back.
+ */
+export function silentMs({ board, loop }: GatewayContext, { ledger }: LedgerAccount): number {
+  return loop.nowMs() - Math.max(board.livenessBasisMs, ledger.syncedAtMs ?? -Infinity);
+}
+
 function tryReserve(context: GatewayContext, account: LedgerAccount, tokens: number): boolean {
-  const { board, loop } = context;
+  const { board } = context;
   // After a cut of the budget below what is drawn, free tokens are no longer this router's to spend.
   const overdrawn = account.ledger.rows.total.grantedTokens > budgetOf(board, account.organisationName);
-  return !overdrawn && account.ledger.tryReserve(tokens, loop.nowMs() - board.livenessBasisMs);
+  return !overdrawn && account.ledger.tryReserve(tokens, silentMs(context, account));
 }
 
 export function budgetOf(board: GatewayBoard, organisationName: string): number {
@@ -176,29 +189,24 @@
       wakeWaiters(context, account);
       continue;
     }
-    const answered = yield* commit(context, account, change);
-    failures = answered ? 0 : failures + 1;
-    const conflictOrWaiting = answered && account.waiters.size > 0;
+    const end = yield* commit(context, account, change);
+    failures = end === LedgerOutcomeKind.Committed || end === LedgerOutcomeKind.Conflict ? 0 : failures + 1;
     const backoffMs = Math.min(options.storeBackoffMs * 2 ** failures, options.storeBackoffMaxMs);
-    const delayMs = answered
-      ? conflictOrWaiting
-        ? options.redrawDelayMs
-        : options.settlePeriodMs
-      : backoffMs * (0.5 + context.random());
-    nextMs = loop.nowMs() + delayMs;
+    nextMs = loop.nowMs() + pauseMs(context, account, end, backoffMs);
   }
 }
 
 function nextChange(context: GatewayContext, account: LedgerAccount): LedgerChange | undefined {
   const { board, loop, options } = context;
-  const needed = [...account.waiters].reduce((sum, { tokens }) => sum + tokens, 0);
+  const needs = [...account.waiters].map(({ tokens }) => tokens);
   if (board.returningShares) {
     return account.ledger.planReturn();
   }
   return account.ledger.plan(
     {
       budgetTokens: budgetOf(board, account.organisationName),
-      neededTokens: needed,
+      neededTokens: needs.reduce((sum, tokens) => sum + tokens, 0),
+      leastNeededTokens: needs.length === 0 ? 0 : Math.min(...needs),
       routerCount: Math.max(1, board.routers.size),
       nowMs: loop.nowMs(),
     },
@@ -206,8 +214,34 @@
   );
 }
 
-/** Sends a change, again at once after a conflict; returns false if the store did not answer. */
-function* commit(context: GatewayContext, account: LedgerAccount, first: LedgerChange): Task<boolean> {
+/** Pause before the next change, by how the last one ended. */
+function pauseMs(
+  { board, loop, options, random }: GatewayContext,
+  account: LedgerAccount,
+  end: LedgerOutcomeKind,
+  backoffMs: number,
+): number {
+  switch (end) {
+    case LedgerOutcomeKind.Committed:
+      return account.waiters.size > 0 ? options.redrawDelayMs : options.settlePeriodMs;
+    case LedgerOutcomeKind.Conflict:
+      // Other routers change the rows at the same time: the pause lets them finish.
+      return options.redrawDelayMs * (1 + random());
+    case LedgerOutcomeKind.Rejected:
+    case LedgerOutcomeKind.Unknown:
+      // A call that was stuck says nothing of a store that answers others.
+      return loop.nowMs() - (board.storeHeardMs ?? -Infinity) < options.storeHeardRecentlyMs
+        ? options.redrawDelayMs * (1 + random())
+        : backoffMs * (0.5 + random());
+  }
+}
+
+/** Sends a change, again at once after a conflict, and returns how the last one ended. */
+function* commit(
+  context: GatewayContext,
+  account: LedgerAccount,
+  first: LedgerChange,
+): Task<LedgerOutcomeKind> {
   const { loop, ledgerStore, options } = context;
   let change: LedgerChange | undefined = first;
   for (let tries = 0; change !== undefined && tries < options.ledgerConflictTries; tries += 1) {
@@ -219,7 +253,7 @@
       case LedgerOutcomeKind.Committed:
         account.replies += 1;
         wakeWaiters(context, account);
-        return true;
+        return outcome.kind;
       case LedgerOutcomeKind.Conflict:
         account.replies += 1;
         wakeWaiters(context, account);
@@ -227,10 +261,10 @@
         break;
       case LedgerOutcomeKind.Rejected:
       case LedgerOutcomeKind.Unknown:
-        return false;
+        return outcome.kind;
     }
   }
-  return true;
+  return change === undefined ? LedgerOutcomeKind.Committed : LedgerOutcomeKind.Conflict;
 }
 
 function logOutcome(
--- a/packages/gateway/src/money/lending.ts
+++ b/packages/gateway/src/money/lending.ts
@@ -4,6 +4,7 @@
 import { LogLevel } from '../observability/log.ts';
 import type { RouterEntry } from '../types.ts';
 import type { LedgerAccount } from './ledgerController.ts';
+import { reserveTokens, ReserveOutcomeKind, settleTokens, silentMs } from './ledgerController.ts';
 
 export interface LoanRequest {
   readonly organisationName: string;
@@ -56,19 +57,29 @@
   return false;
 }
 
-/** Decides on a loan to a peer and debits it from this router's share. */
-export function lendTokens(context: GatewayContext, account: LedgerAccount, request: LoanRequest): number {
-  const { board, loop, log } = context;
-  const silentMs = loop.nowMs() - board.livenessBasisMs;
+/** Decides on a loan to a peer and debits it from this router's share, drawing for it if the share is short. */
+export function* lendTokens(
+  context: GatewayContext,
+  account: LedgerAccount,
+  request: LoanRequest,
+): Task<number> {
+  const { board, loop, log, options } = context;
   const { ledger } = account;
   const keptTokens = ledger.demandTokens(DEMAND_KEPT_MS, loop.nowMs());
-  const lendable = Math.floor(ledger.spendableFreeTokens(silentMs) - keptTokens);
-  const tokens = Math.min(lendable, request.wantedTokens);
-  if (tokens < request.leastTokens || board.returningShares || !ledger.tryReserve(tokens, silentMs)) {
+  const lendable = Math.floor(ledger.spendableFreeTokens(silentMs(context, account)) - keptTokens);
+  const tokens =
+    lendable < request.leastTokens ? request.wantedTokens : Math.min(lendable, request.wantedTokens);
+  if (board.returningShares) {
+    return 0;
+  }
+  const outcome = yield* reserveTokens(context, account, tokens, {
+    waitUntilMs: loop.nowMs() + options.loanDrawMs,
+    mayBorrow: false,
+  });
+  if (outcome !== ReserveOutcomeKind.Reserved) {
     return 0;
   }
-  ledger.settle(tokens, tokens);
-  ledger.recordDemand(tokens, loop.nowMs());
+  settleTokens(context, account, tokens, tokens);
   log(LogLevel.Debug, 'loan given', { ...request, lentTokens: tokens });
   return tokens;
 }
--- a/packages/gateway/src/money/liveness.ts
+++ b/packages/gateway/src/money/liveness.ts
@@ -53,7 +53,7 @@
   const { board, loop, options, self } = context;
   let stampMs: number | undefined;
   while (!board.stopped) {
-    if (stampMs === undefined && accountsWithinLimits(context)) {
+    if (stampMs === undefined && accountsBeyondLimit(context).length === 0) {
       stampMs = store.storeTimeMs();
       board.livenessBasisMs = loop.nowMs();
     }
@@ -63,14 +63,20 @@
       );
       stampMs = held ? undefined : stampMs;
     }
+    const beyond = accountsBeyondLimit(context);
+    if (stampMs === undefined && beyond.length > 0) {
+      context.log(LogLevel.Debug, 'liveness record waits for shares to be settled', {
+        organisations: beyond,
+      });
+    }
     const pauseMs =
-      stampMs === undefined && !accountsWithinLimits(context)
-        ? options.livenessRetryMs
-        : options.livenessPeriodMs;
+      stampMs === undefined && beyond.length > 0 ? options.livenessRetryMs : options.livenessPeriodMs;
     yield* sleepUntil(loop.nowMs() + pauseMs);
   }
 }
 
-function accountsWithinLimits({ board }: GatewayContext): boolean {
-  return [...board.accounts.values()].every(({ ledger }) => ledger.isWithinLimit);
+function accountsBeyondLimit({ board }: GatewayContext): string[] {
+  return [...board.accounts.values()]
+    .filter(({ ledger }) => !ledger.isWithinLimit)
+    .map(({ organisationName }) => organisationName);
 }
--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -14,6 +14,8 @@
  * router to draw does not take the shares of the others.
  */
 const PRIOR_DEMAND_PER_SECOND = 0.002;
+/** Weight of the newest request in the usual size of requests. */
+const USUAL_REQUEST_WEIGHT = 0.1;
 /** A limit is raised once less than this part of its headroom is left. */
 const LIMIT_REFRESH_PART = 0.6;
 
@@ -28,6 +30,8 @@
   readonly budgetTokens: number;
   /** Tokens that waiting requests need beyond what is free. */
   readonly neededTokens: number;
+  /** Tokens of the smallest of them; 0 if none waits. */
+  readonly leastNeededTokens: number;
   /** Routers that draw from the budget. */
   readonly routerCount: number;
   readonly nowMs: number;
@@ -50,6 +54,7 @@
   private spentTokens = 0;
   private reservedTokens = 0;
   private largestRequestTokens = 0;
+  private usualRequestTokens = 0;
   private readonly ownDemand: DemandRate;
   private readonly fleetDemand: DemandRate;
   private settledSeenTokens: number | undefined;
@@ -86,6 +91,7 @@
   /** Records demand, also for requests that are then refused. */
   recordDemand(tokens: number, nowMs: number): void {
     this.ownDemand.record(tokens, nowMs);
+    this.usualRequestTokens += (tokens - this.usualRequestTokens) * USUAL_REQUEST_WEIGHT;
     this.largestRequestTokens = Math.max(tokens, this.largestRequestTokens * LARGEST_REQUEST_DECAY);
   }
 
@@ -128,15 +134,18 @@
 
   /** The next transaction, or undefined if the rows need not change. */
   plan(input: LedgerPlanInput, options: SharePlanOptions): LedgerChange | undefined {
-    const { budgetTokens, neededTokens, routerCount, nowMs } = input;
+    const { budgetTokens, neededTokens, leastNeededTokens, routerCount, nowMs } = input;
+    const freeTokens = Math.max(0, this.freeTokens);
     const { total } = this.snapshot;
     const fleetDemand = this.fleetDemand.perSecond(nowMs);
     const ownDemand = this.ownDemand.perSecond(nowMs);
     const prior = budgetTokens * PRIOR_DEMAND_PER_SECOND;
     const delta = planShare(
       {
-        freeTokens: Math.max(0, this.freeTokens),
-        neededTokens: Math.max(0, neededTokens - Math.max(0, this.freeTokens)),
+        freeTokens,
+        neededTokens: Math.max(0, neededTokens - freeTokens),
+        leastNeededTokens: Math.max(0, leastNeededTokens - freeTokens),
+        usualRequestTokens: this.usualRequestTokens,
         largestRequestTokens: this.largestRequestTokens,
         demandTokensPerSecond: ownDemand,
         demandPart: (ownDemand + prior) / (Math.max(fleetDemand, ownDemand) + prior * routerCount),
@@ -147,13 +156,19 @@
       options,
     );
     const headroomTokens = (ownDemand * options.limitHorizonMs) / 1_000;
-    const change = this.changeBy(delta, this.usedTokens + Math.max(headroomTokens, neededTokens));
+    const change = this.changeBy(delta, {
+      limitTokens: this.usedTokens + Math.max(headroomTokens, neededTokens),
+      releaseTokensPerSecond: ownDemand * options.releaseDemandFactor + this.largestRequestTokens / 2,
+    });
     return this.isNeeded(change, headroomTokens, neededTokens) ? change : undefined;
   }
 
   /** Returns everything that is not in use; for a router that stops. */
   planReturn(): LedgerChange | undefined {
-    const change = this.changeBy(-Math.max(0, this.freeTokens), this.usedTokens);
+    const change = this.changeBy(-Math.max(0, this.freeTokens), {
+      limitTokens: this.usedTokens,
+      releaseTokensPerSecond: 0,
+    });
     return this.isNeeded(change, 0, 0) ? change : undefined;
   }
 
@@ -228,7 +243,10 @@
     );
   }
 
-  private changeBy(deltaTokens: number, limitTokens: number): LedgerChange {
+  private changeBy(
+    deltaTokens: number,
+    { limitTokens, releaseTokensPerSecond }: Pick<ShareRecord, 'limitTokens' | 'releaseTokensPerSecond'>,
+  ): LedgerChange {
     const { total, share } = this.snapshot;
     const own = this.ownShare;
     const recovered = this.recoverableTokens;
@@ -247,6 +265,7 @@
         grantedTokens,
         settledTokens: this.spentTokens,
         limitTokens: Math.min(grantedTokens, Math.ceil(limitTokens)),
+        releaseTokensPerSecond: Math.ceil(releaseTokensPerSecond),
       },
     };
   }
@@ -254,7 +273,8 @@
   /** True if the change moves tokens, reports spending, or raises a limit that is nearly used. */
   private isNeeded(change: LedgerChange, headroomTokens: number, neededTokens: number): boolean {
     const own = this.ownShare;
-    if (own === undefined || this.syncedAtMs === undefined) {
+    if (own === undefined || this.syncedAtMs === undefined || this.unanswered.length > 0) {
+      // Only a reply ends the doubt about an unanswered change; until then its lower amounts hold.
       return true;
     }
     const moves =
--- a/packages/gateway/src/money/planShare.ts
+++ b/packages/gateway/src/money/planShare.ts
@@ -10,6 +10,8 @@
    * store. What lies within the limit is lost when all routers are killed; a larger request raises it at once.
    */
   readonly limitHorizonMs: number;
+  /** Times its demand at which a share opens in the silence of the store: bursts of one organisation reach 2.5. */
+  readonly releaseDemandFactor: number;
 }
 
 export const DEFAULT_SHARE_PLAN: SharePlanOptions = {
@@ -17,6 +19,7 @@
   heldFraction: 0.8,
   returnFactor: 1.3,
   limitHorizonMs: 1_200,
+  releaseDemandFactor: 2.5,
 };
 
 export interface SharePlanInput {
@@ -24,6 +27,10 @@
   readonly freeTokens: number;
   /** Tokens that waiting requests need beyond what is free. */
   readonly neededTokens: number;
+  /** The least of these that serves a request; 0 if none waits. */
+  readonly leastNeededTokens: number;
+  /** Usual reservation of late: a share that cannot hold one serves nobody. */
+  readonly usualRequestTokens: number;
   /** Largest reservation seen of late; a share holds at least one of them. */
   readonly largestRequestTokens: number;
   /** This router's demand. */
@@ -52,12 +59,14 @@
   const horizonTokens = (input.demandTokensPerSecond * options.horizonMs) / 1_000;
   const wanted = horizonTokens + input.largestRequestTokens;
   const cap = input.leftTokens * options.heldFraction * input.demandPart;
-  const target = Math.floor(Math.min(wanted, Math.max(cap, 0)));
+  const affordable = Math.floor(Math.min(wanted, Math.max(cap, 0)));
+  // Near the end of a budget, fragments at many routers add up to requests at one: they draw for each request.
+  const target = affordable < input.usualRequestTokens ? 0 : affordable;
   const missing = Math.max(target - freeTokens, 0);
   const draw = Math.min(Math.max(missing, neededTokens), room);
   if (draw > 0) {
-    // Requests of the size that is wanted now must fit whole, or the draw strands money without serving any.
-    return draw >= neededTokens ? draw : 0;
+    // A draw that serves no waiting request would only keep the tokens from other routers.
+    return draw >= input.leastNeededTokens ? draw : 0;
   }
   const excess = freeTokens - target;
   return freeTokens > target * options.returnFactor && neededTokens === 0 ? -excess : 0;
--- a/packages/gateway/src/money/release.ts
+++ b/packages/gateway/src/money/release.ts
@@ -4,8 +4,6 @@
 export interface ReleaseOptions {
   /** Silence of the store after which a share begins to open: longer than a liveness record takes. */
   readonly graceMs: number;
-  /** Time in which the rest of the share then opens evenly. */
-  readonly releaseMs: number;
 }
 
 /**
@@ -13,11 +11,10 @@
  * and its next life use the same bound: one to spend, the other to give back what lies beyond.
  */
 export function spendableTokens(
-  share: Pick<ShareRecord, 'grantedTokens' | 'limitTokens'>,
+  share: Pick<ShareRecord, 'grantedTokens' | 'limitTokens' | 'releaseTokensPerSecond'>,
   silentMs: number,
-  options: ReleaseOptions,
+  { graceMs }: ReleaseOptions,
 ): number {
-  const part = Math.min(1, Math.max(0, (silentMs - options.graceMs) / options.releaseMs));
-  const limitTokens = Math.min(share.limitTokens, share.grantedTokens);
-  return limitTokens + Math.floor((share.grantedTokens - limitTokens) * part);
+  const releasedTokens = (Math.max(0, silentMs - graceMs) / 1_000) * share.releaseTokensPerSecond;
+  return Math.min(share.grantedTokens, share.limitTokens + Math.floor(releasedTokens));
 }
--- a/packages/gateway/src/money/types.ts
+++ b/packages/gateway/src/money/types.ts
@@ -17,6 +17,8 @@
   readonly settledTokens: number;
   /** Tokens that the router may have spent in all, unless the store is silent (release.ts). */
   readonly limitTokens: number;
+  /** Tokens by which the limit rises for each second of the store's silence. */
+  readonly releaseTokensPerSecond: number;
 }
 
 /** Both rows with the versions that a change must expect; version 0 stands for a row that does not exist. */
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -16,6 +16,8 @@
   readonly storeBackoffMs: number;
   /** Longest such pause: below the time in which a returning store must be noticed. */
   readonly storeBackoffMaxMs: number;
+  /** Time since the store's last answer in which it counts as reachable: several of its usual answers. */
+  readonly storeHeardRecentlyMs: number;
   /** Conflicts in a row after which a change waits for its next turn, so that routers do not block each other. */
   readonly ledgerConflictTries: number;
   readonly sharePlan: SharePlanOptions;
@@ -28,6 +30,8 @@
   readonly eagerAccounts: number;
   /** Time that the store has to answer a draw before other routers are asked: three of its usual answers. */
   readonly firstBorrowMs: number;
+  /** Time in which a lender may draw tokens for a loan. */
+  readonly loanDrawMs: number;
   /** Pause between rounds of asking other routers. */
   readonly borrowPauseMs: number;
   /** Longest wait for tokens, as a part of the time within which the answer is on time. */
@@ -60,13 +64,15 @@
   redrawDelayMs: 15,
   storeBackoffMs: 50,
   storeBackoffMaxMs: 250,
+  storeHeardRecentlyMs: 150,
   ledgerConflictTries: 6,
   sharePlan: DEFAULT_SHARE_PLAN,
   livenessPeriodMs: 400,
   livenessRetryMs: 100,
-  release: { graceMs: 1_000, releaseMs: 2_500 },
+  release: { graceMs: 1_000 },
   eagerAccounts: 100,
   firstBorrowMs: 20,
+  loanDrawMs: 40,
   borrowPauseMs: 150,
   budgetWaitTargetPart: 0.2,
   placement: DEFAULT_PLACEMENT,
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -118,7 +118,10 @@
   const nowMs = context.loop.nowMs();
   const targetMs = request.route.targetLatencyMs ?? request.deadlineAtMs - request.exchange.arrivedMs;
   const waitUntilMs = Math.min(nowMs + targetMs * context.options.budgetWaitTargetPart, request.deadlineAtMs);
-  const outcome = yield* reserveTokens(context, account, reservedTokens, waitUntilMs);
+  const outcome = yield* reserveTokens(context, account, reservedTokens, {
+    waitUntilMs,
+    mayBorrow: true,
+  });
   switch (outcome) {
     case ReserveOutcomeKind.Reserved:
       request.reservation = {
