--- a/packages/gateway/src/money/planShare.ts
+++ b/packages/gateway/src/money/planShare.ts
@@ -1,5 +1,5 @@
 export interface SharePlanOptions {
-  /** Time for which a share lasts at the present demand: two store outages of eight seconds, or a burst in one. */
+  /** Time for which a share lasts at the present demand: a store outage of eight seconds with a burst. */
   readonly horizonMs: number;
   /** Part of the money left that all routers together may hold, by their parts of the demand. */
   readonly heldFraction: number;
@@ -15,8 +15,8 @@
 }
 
 export const DEFAULT_SHARE_PLAN: SharePlanOptions = {
-  horizonMs: 20_000,
-  heldFraction: 0.8,
+  horizonMs: 14_000,
+  heldFraction: 0.6,
   returnFactor: 1.3,
   limitHorizonMs: 1_200,
   releaseDemandFactor: 2.5,
