--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -152,6 +152,7 @@
         budgetTokens,
         grantedTokens: total.grantedTokens - this.recoverableTokens,
         leftTokens: budgetTokens - total.settledTokens - total.strandedTokens,
+        heldTokens: total.grantedTokens - total.settledTokens - total.strandedTokens,
       },
       options,
     );
--- a/packages/gateway/src/money/planShare.ts
+++ b/packages/gateway/src/money/planShare.ts
@@ -43,6 +43,8 @@
   readonly grantedTokens: number;
   /** Tokens that no router has spent or lost. */
   readonly leftTokens: number;
+  /** Part of these that lies in shares, used or not. */
+  readonly heldTokens: number;
 }
 
 /**
@@ -62,12 +64,15 @@
   const affordable = Math.floor(Math.min(wanted, Math.max(cap, 0)));
   // Near the end of a budget, fragments at many routers add up to requests at one: they draw for each request.
   const target = affordable < input.usualRequestTokens ? 0 : affordable;
-  const missing = Math.max(target - freeTokens, 0);
-  const draw = Math.min(Math.max(missing, neededTokens), room);
+  const heldLimit = Math.max(0, input.leftTokens * options.heldFraction);
+  const missing = Math.min(Math.max(target - freeTokens, 0), Math.max(0, heldLimit - input.heldTokens));
+  const draw = Math.floor(Math.min(Math.max(missing, Math.ceil(neededTokens)), room));
   if (draw > 0) {
     // A draw that serves no waiting request would only keep the tokens from other routers.
     return draw >= input.leastNeededTokens ? draw : 0;
   }
-  const excess = freeTokens - target;
-  return freeTokens > target * options.returnFactor && neededTokens === 0 ? -excess : 0;
+  // The routers' views of the demand differ, so their targets may add up to more than they may hold.
+  const fairTarget = Math.floor(Math.min(target, (freeTokens * heldLimit) / Math.max(input.heldTokens, 1)));
+  const excess = freeTokens - fairTarget;
+  return freeTokens > fairTarget * options.returnFactor && neededTokens === 0 ? -excess : 0;
 }
