Check the budget over histories of faults with the real ledger code

Change: a simulated fleet with the real ledger, liveness and lending code before a store that is away, loses answers or writes late; routers are killed, paused and restarted.

--- /dev/null
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -0,0 +1,399 @@
+import type { RandomSource } from '@pimentostall/core';
+import { createBoard } from '../../blackboard.ts';
+import type { GatewayContext } from '../../context.ts';
+import { GatewayMetrics } from '../../observability/metrics.ts';
+import { createOptions } from '../../options.ts';
+import { TaskLoop } from '../../runtime/taskLoop.ts';
+import type { RouterEntry } from '../../types.ts';
+import { openAccount, reserveTokens, ReserveOutcomeKind, settleTokens } from '../ledgerController.ts';
+import { lendTokens } from '../lending.ts';
+import type { LivenessRecord } from '../liveness.ts';
+import { keepLiveness, readPredecessor } from '../liveness.ts';
+import type { BudgetTotal, LedgerChange, LedgerOutcome, ShareRecord } from '../types.ts';
+import { EMPTY_TOTAL, LedgerOutcomeKind } from '../types.ts';
+
+export const ORGANISATION = 'school';
+const ANSWER_MS = 5;
+/** Time of a call without an answer, and the longest delay of a write that is made late. */
+const TIMEOUT_MS = 300;
+const LATE_WRITE_MS = 2_000;
+
+/** How the store treats a router's calls. */
+export enum StoreMode {
+  Up = 'up',
+  Unreachable = 'unreachable',
+  /** Writes are made, and not answered. */
+  AnswersLost = 'answers-lost',
+  /** Writes are made later, if their versions still hold, and not answered. */
+  WritesLate = 'writes-late',
+}
+
+interface Row<T> {
+  readonly version: number;
+  readonly value: T;
+}
+
+/** Events in the order of their time; no real time passes. */
+class Timeline {
+  nowMs = 0;
+  private readonly events: { atMs: number; order: number; run: () => void }[] = [];
+  private count = 0;
+
+  at(delayMs: number, run: () => void): () => void {
+    const event = { atMs: this.nowMs + delayMs, order: (this.count += 1), run };
+    this.events.push(event);
+    return () => {
+      const index = this.events.indexOf(event);
+      if (index >= 0) {
+        this.events.splice(index, 1);
+      }
+    };
+  }
+
+  async advance(durationMs: number, check: () => void): Promise<void> {
+    const untilMs = this.nowMs + durationMs;
+    for (;;) {
+      const next = this.events
+        .filter(({ atMs }) => atMs <= untilMs)
+        .sort((a, b) => a.atMs - b.atMs || a.order - b.order)[0];
+      if (next === undefined) {
+        break;
+      }
+      this.events.splice(this.events.indexOf(next), 1);
+      this.nowMs = Math.max(this.nowMs, next.atMs);
+      next.run();
+      // Promises of the store resolve in microtasks.
+      await new Promise(setImmediate);
+      check();
+    }
+    this.nowMs = untilMs;
+  }
+}
+
+/** One life of a router. */
+class Life {
+  alive = true;
+  readonly context: GatewayContext;
+
+  constructor(
+    readonly fleet: SimulatedFleet,
+    readonly routerIndex: number,
+    incarnationId: string,
+  ) {
+    const { timeline } = fleet;
+    const board = createBoard();
+    const loop = new TaskLoop(
+      {
+        nowMs: () => timeline.nowMs - fleet.pausedMs(routerIndex),
+        startTimer: (delayMs, callback) =>
+          timeline.at(delayMs, () => {
+            this.run(callback);
+          }),
+      },
+      (task, cause) => {
+        throw new Error(`task ${task} failed`, { cause });
+      },
+    );
+    const self: RouterEntry = {
+      routerId: `router-${routerIndex}`,
+      incarnationId,
+      callerAddress: '',
+      peerAddress: '',
+      region: 'r',
+      availabilityZone: 'z',
+      ready: true,
+    };
+    this.context = {
+      board,
+      loop,
+      options: createOptions()._unsafeUnwrap(),
+      self,
+      ledgerStore: { commit: (_name, change) => fleet.commit(this, change) },
+      peerPort: {
+        borrow: (peer, request) => fleet.borrow(this, peer.routerId, request),
+      },
+      upstreamPort: { open: () => fleet.fail(), forget: () => undefined },
+      log: () => undefined,
+      metrics: new GatewayMetrics(),
+      random: fleet.random,
+      place: { availabilityZone: 'z', region: 'r', regionOf: () => 'r' },
+      sharingRouters: () => 3,
+    };
+    board.configuration = fleet.configuration();
+    for (const index of fleet.routerIndexes()) {
+      board.routers.set(`router-${index}`, {
+        entry: { ...self, routerId: `router-${index}` },
+        changedAtMs: 0,
+      });
+    }
+  }
+
+  /** Runs a callback in this process, later if it is paused, never once it is dead. */
+  run(callback: () => void): void {
+    if (!this.alive) {
+      return;
+    }
+    const pausedMs = this.fleet.pauseLeftMs(this.routerIndex);
+    if (pausedMs > 0) {
+      this.fleet.timeline.at(pausedMs, () => {
+        this.run(callback);
+      });
+      return;
+    }
+    callback();
+  }
+
+  start(): void {
+    const { context, fleet } = this;
+    const liveness = {
+      read: () => fleet.readLiveness(this),
+      write: (record: LivenessRecord) => fleet.writeLiveness(this, record),
+      storeTimeMs: () => fleet.storeTimeSeen(this),
+    };
+    context.loop.spawn(
+      'start',
+      (function* () {
+        yield* readPredecessor(context, liveness);
+        context.loop.spawn('liveness', keepLiveness(context, liveness));
+        openAccount(context, ORGANISATION);
+      })(),
+    );
+  }
+}
+
+/**
+ * Routers with the real ledger, liveness and lending code before a simulated store. It keeps its own account of what
+ * was spent: a reservation counts whole from the time at which its request may be sent.
+ */
+export class SimulatedFleet {
+  readonly timeline = new Timeline();
+  readonly modes: StoreMode[];
+  /** Tokens spent, or reserved by requests that may run. */
+  spentTokens = 0;
+  servedCount = 0;
+  private readonly lives: (Life | undefined)[];
+  private readonly pausedUntilMs: number[];
+  private readonly pausedTotalMs: number[];
+  private lifeCount = 0;
+  private version = 0;
+  private total: Row<BudgetTotal> | undefined;
+  private readonly shares = new Map<number, Row<ShareRecord>>();
+  private readonly records = new Map<number, LivenessRecord>();
+  private readonly clockSeen = new Map<Life, { storeMs: number; seenAtMs: number }>();
+
+  constructor(
+    routerCount: number,
+    readonly budgetTokens: number,
+    readonly random: RandomSource,
+  ) {
+    this.modes = Array.from({ length: routerCount }, () => StoreMode.Up);
+    this.lives = Array.from({ length: routerCount }, () => undefined);
+    this.pausedUntilMs = Array.from({ length: routerCount }, () => 0);
+    this.pausedTotalMs = Array.from({ length: routerCount }, () => 0);
+    for (const index of this.routerIndexes()) {
+      this.startRouter(index);
+    }
+  }
+
+  routerIndexes(): number[] {
+    return this.modes.map((_, index) => index);
+  }
+
+  configuration(): GatewayContext['board']['configuration'] {
+    const { budgetTokens } = this;
+    return {
+      version: 1,
+      routes: [],
+      services: new Map(),
+      organisations: new Map([
+        [ORGANISATION, { name: ORGANISATION, keys: [], priority: undefined, reservedTokens: budgetTokens }],
+      ]),
+      requiresKeys: true,
+      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    };
+  }
+
+  fail(): never {
+    throw new Error('not used');
+  }
+
+  startRouter(index: number): void {
+    if (this.lives[index]?.alive !== true) {
+      this.lifeCount += 1;
+      const life = new Life(this, index, `life-${this.lifeCount}`);
+      this.lives[index] = life;
+      life.start();
+    }
+  }
+
+  kill(index: number): void {
+    const life = this.lives[index];
+    if (life !== undefined) {
+      life.alive = false;
+    }
+  }
+
+  pause(index: number, durationMs: number): void {
+    if (this.pauseLeftMs(index) === 0) {
+      this.pausedUntilMs[index] = this.timeline.nowMs + durationMs;
+      this.pausedTotalMs[index] = (this.pausedTotalMs[index] ?? 0) + durationMs;
+    }
+  }
+
+  pauseLeftMs(index: number): number {
+    return Math.max(0, (this.pausedUntilMs[index] ?? 0) - this.timeline.nowMs);
+  }
+
+  /** Time that the router's steady clock has not counted. */
+  pausedMs(index: number): number {
+    return (this.pausedTotalMs[index] ?? 0) - this.pauseLeftMs(index);
+  }
+
+  /** A request that reserves tokens, and spends a part of them after a time. */
+  request(index: number, tokens: number, spentPart: number, durationMs: number): void {
+    const life = this.lives[index];
+    const account = life?.context.board.accounts.get(ORGANISATION);
+    if (life?.alive !== true || account === undefined) {
+      return;
+    }
+    const { context } = life;
+    const { timeline } = this;
+    const settle = (): void => {
+      const spent = Math.floor(tokens * spentPart);
+      life.run(() => {
+        this.spentTokens -= tokens - spent;
+        settleTokens(context, account, tokens, spent);
+      });
+    };
+    const reserved = (): void => {
+      this.servedCount += 1;
+      this.spentTokens += tokens;
+      timeline.at(durationMs, settle);
+    };
+    life.run(() => {
+      context.loop.spawn(
+        'request',
+        (function* () {
+          const outcome = yield* reserveTokens(context, account, tokens, {
+            waitUntilMs: context.loop.nowMs() + 200,
+            mayBorrow: true,
+          });
+          if (outcome === ReserveOutcomeKind.Reserved) {
+            reserved();
+          }
+        })(),
+      );
+    });
+  }
+
+  commit(life: Life, change: LedgerChange): Promise<LedgerOutcome> {
+    const apply = (): LedgerOutcome => this.applyChange(life.routerIndex, change);
+    return this.call(life, apply, { kind: LedgerOutcomeKind.Unknown, detail: '' }, true);
+  }
+
+  readLiveness(
+    life: Life,
+  ): Promise<{ record: LivenessRecord | undefined; endedBeforeStoreMs: number } | undefined> {
+    const read = (): { record: LivenessRecord | undefined; endedBeforeStoreMs: number } => ({
+      record: this.records.get(life.routerIndex),
+      endedBeforeStoreMs: this.timeline.nowMs,
+    });
+    return this.call(life, read, undefined, false);
+  }
+
+  writeLiveness(life: Life, record: LivenessRecord): Promise<boolean> {
+    const write = (): boolean => {
+      this.records.set(life.routerIndex, record);
+      return true;
+    };
+    return this.call(life, write, false, true);
+  }
+
+  storeTimeSeen(life: Life): number | undefined {
+    const seen = this.clockSeen.get(life);
+    return seen === undefined ? undefined : seen.storeMs + (life.context.loop.nowMs() - seen.seenAtMs);
+  }
+
+  borrow(
+    borrower: Life,
+    lenderId: string,
+    request: Parameters<GatewayContext['peerPort']['borrow']>[1],
+  ): Promise<number> {
+    const lender = this.lives.find((life) => life?.context.self.routerId === lenderId);
+    const account = lender?.context.board.accounts.get(ORGANISATION);
+    return new Promise((resolve) => {
+      const answer = (tokens: number): void => {
+        this.timeline.at(1, () => {
+          borrower.run(() => {
+            resolve(tokens);
+          });
+        });
+      };
+      if (lender?.alive !== true || account === undefined || this.random() < 0.1) {
+        answer(0);
+        return;
+      }
+      const lose = this.random() < 0.1;
+      lender.run(() => {
+        lender.context.loop.spawn(
+          'loan',
+          (function* () {
+            const tokens = yield* lendTokens(lender.context, account, request);
+            answer(lose ? 0 : tokens);
+          })(),
+        );
+      });
+    });
+  }
+
+  private call<T>(life: Life, apply: () => T, noAnswer: T, isWrite: boolean): Promise<T> {
+    const mode = this.modes[life.routerIndex] ?? StoreMode.Up;
+    return new Promise((resolve) => {
+      const finish = (delayMs: number, value: () => T, answered: boolean): void => {
+        this.timeline.at(delayMs, () => {
+          const result = value();
+          const storeMs = this.timeline.nowMs;
+          life.run(() => {
+            if (answered) {
+              this.clockSeen.set(life, { storeMs, seenAtMs: life.context.loop.nowMs() });
+            }
+            resolve(result);
+          });
+        });
+      };
+      if (mode === StoreMode.Up || (!isWrite && mode !== StoreMode.Unreachable)) {
+        finish(ANSWER_MS, apply, true);
+        return;
+      }
+      if (mode === StoreMode.AnswersLost) {
+        this.timeline.at(ANSWER_MS, apply);
+      }
+      if (mode === StoreMode.WritesLate) {
+        this.timeline.at(this.random() * LATE_WRITE_MS, apply);
+      }
+      finish(TIMEOUT_MS, () => noAnswer, false);
+    });
+  }
+
+  private applyChange(routerIndex: number, change: LedgerChange): LedgerOutcome {
+    const share = this.shares.get(routerIndex);
+    if (
+      (this.total?.version ?? 0) !== change.base.totalVersion ||
+      (share?.version ?? 0) !== change.base.shareVersion
+    ) {
+      return {
+        kind: LedgerOutcomeKind.Conflict,
+        snapshot: {
+          totalVersion: this.total?.version ?? 0,
+          total: this.total?.value ?? EMPTY_TOTAL,
+          shareVersion: share?.version ?? 0,
+          share: share?.value,
+        },
+      };
+    }
+    this.version += 1;
+    this.total = { version: this.version, value: change.total };
+    this.shares.set(routerIndex, { version: this.version, value: change.share });
+    return { kind: LedgerOutcomeKind.Committed, rowVersion: this.version };
+  }
+}
