--- /dev/null
+++ b/packages/gateway/src/membership/__tests__/entryAnswer.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { RouterView } from '../../blackboard.ts';
+import { entryAnswer } from '../entryAnswer.ts';
+
+function router(name: string, ready: boolean, changedAtMs: number): RouterView {
+  return {
+    entry: {
+      routerId: name,
+      incarnationId: `${name}-1`,
+      callerAddress: `${name}:1`,
+      peerAddress: `${name}:2`,
+      region: 'x',
+      availabilityZone: 'z',
+      ready,
+    },
+    changedAtMs,
+  };
+}
+
+const self = router('self', true, 0).entry;
+const options = { routerSilentMs: 2_600 };
+
+test('silent and stopping routers leave the entry answer', () => {
+  const routers = [
+    router('live', true, 9_000),
+    router('silent', true, 5_000),
+    router('stopping', false, 9_900),
+  ];
+  assert.deepEqual(entryAnswer(self, true, routers, 10_000, 10_000, options), ['self:1', 'live:1']);
+});
+
+test('no router is taken for dead because the store is silent', () => {
+  const routers = [router('live', true, 4_000)];
+  assert.deepEqual(entryAnswer(self, true, routers, 60_000, 5_000, options), ['self:1', 'live:1']);
+});
+
+test('a router that is not ready does not name itself', () => {
+  assert.deepEqual(entryAnswer(self, false, [router('live', true, 0)], 100, 100, options), ['live:1']);
+});
--- /dev/null
+++ b/packages/gateway/src/placement/__tests__/chooseUpstream.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { UpstreamEntry } from '../../types.ts';
+import { UpstreamState } from '../../types.ts';
+import type { PlacementRequest } from '../chooseUpstream.ts';
+import { chooseUpstream } from '../chooseUpstream.ts';
+import { DEFAULT_PLACEMENT } from '../options.ts';
+import { UpstreamView } from '../upstreamView.ts';
+
+const place = { availabilityZone: 'z', region: 'x', regionOf: () => 'x' };
+const request: PlacementRequest = {
+  serviceName: 'assistant',
+  promptParts: [
+    { partId: 'shared', tokens: 13_000 },
+    { partId: 'own', tokens: 3_000 },
+  ],
+  promptTokens: 16_000,
+  excluded: new Set(),
+};
+
+function engines(count: number, change: Partial<UpstreamEntry> = {}): UpstreamView[] {
+  return Array.from(
+    { length: count },
+    (_, index) =>
+      new UpstreamView(
+        {
+          upstreamId: `engine-${index}`,
+          serviceName: 'assistant',
+          address: '127.0.0.1:1',
+          availabilityZone: 'z',
+          state: UpstreamState.Ready,
+          slots: 64,
+          warmupLeftMs: 0,
+          bornMs: undefined,
+          ...change,
+        },
+        DEFAULT_PLACEMENT,
+      ),
+  );
+}
+
+const choose = (upstreams: UpstreamView[], nowMs = 0): string | undefined =>
+  chooseUpstream(request, upstreams, place, nowMs, DEFAULT_PLACEMENT)?.upstream.entry.upstreamId;
+
+test('routers that do not talk choose the same engine for a shared part', () => {
+  assert.equal(choose(engines(13)), choose(engines(13).reverse()));
+});
+
+test('the engine that holds the shared part is chosen before its home', () => {
+  const upstreams = engines(13);
+  const home = choose(upstreams);
+  const holder = upstreams.find(({ entry }) => entry.upstreamId !== home);
+  for (const { cache } of upstreams) {
+    cache.apply([]);
+  }
+  holder?.cache.apply([{ partId: 'shared', keptTokens: 13_000 }]);
+  assert.equal(choose(upstreams), holder?.entry.upstreamId);
+});
+
+test('a busy holder is left when waiting there costs more than reading the part again', () => {
+  const upstreams = engines(2);
+  for (const { cache } of upstreams) {
+    cache.apply([]);
+  }
+  upstreams[0]?.cache.apply([{ partId: 'shared', keptTokens: 13_000 }]);
+  assert.equal(choose(upstreams), 'engine-0');
+  if (upstreams[0] !== undefined) {
+    upstreams[0].pendingPrefillTokens = 40_000;
+  }
+  assert.equal(choose(upstreams), 'engine-1');
+});
+
+test('draining and ejected engines get no new request', () => {
+  assert.equal(choose(engines(2, { state: UpstreamState.Draining })), undefined);
+  const [failing] = engines(1);
+  assert.ok(failing !== undefined);
+  for (let count = 0; count < DEFAULT_PLACEMENT.ejectionFailures; count += 1) {
+    failing.recordFailure(0);
+  }
+  assert.equal(choose([failing], 1), undefined);
+  assert.equal(choose([failing], DEFAULT_PLACEMENT.ejectionMs + 1), 'engine-0');
+});
--- /dev/null
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -0,0 +1,260 @@
+import { Channel, seededRandom } from '@pimentostall/core';
+import { createBoard } from '../../blackboard.ts';
+import type { GatewayContext } from '../../context.ts';
+import { GatewayMetrics } from '../../observability/metrics.ts';
+import { createOptions } from '../../options.ts';
+import { UpstreamView } from '../../placement/upstreamView.ts';
+import { RouteTable } from '../../routing/routeTable.ts';
+import { TaskLoop } from '../../runtime/taskLoop.ts';
+import type { Route } from '../../types.ts';
+import { RouteKind, UpstreamState } from '../../types.ts';
+import type {
+  CallerExchange,
+  OwnAnswer,
+  RequestEvent,
+  RequestHead,
+  UpstreamHead,
+  UpstreamRequest,
+} from '../ports.ts';
+import { RequestEventKind } from '../ports.ts';
+import { serveRequest } from '../serveRequest.ts';
+
+export const ROUTE: Route = {
+  name: 'stock',
+  hostname: 'shop.example',
+  prefix: '/stock/',
+  kind: RouteKind.Safe,
+  timeoutMs: 1_000,
+  targetLatencyMs: 100,
+  targetGapMs: undefined,
+  priority: 0,
+  maxAttempts: 2,
+  anonymous: true,
+  resumable: false,
+  targets: [{ serviceName: 'orders', weight: 1 }],
+};
+
+export const ANSWER_HEAD: UpstreamHead = {
+  status: 200,
+  notExecuted: false,
+  wrongInstance: false,
+  answersRequest: true,
+  signed: true,
+  closesConnection: false,
+  retryAfterMs: undefined,
+  forwardHeaders: [],
+};
+
+/** A request as an upstream got it, with the means to answer. */
+export interface OpenedCall {
+  readonly upstreamId: string;
+  readonly request: UpstreamRequest;
+  cancelled: boolean;
+  sent(): void;
+  head(head?: Partial<UpstreamHead>): void;
+  data(text: string): void;
+  end(): void;
+  fail(): void;
+}
+
+/** What the caller has got. */
+export interface CallerView {
+  status: number | undefined;
+  body: string;
+  ended: boolean;
+  aborted: boolean;
+  own: OwnAnswer | undefined;
+  leave(): void;
+}
+
+/** The request path with fake upstreams, a fake caller and a clock that the test moves. */
+export class RequestRig {
+  readonly calls: OpenedCall[] = [];
+  readonly context: GatewayContext;
+  private nowMs = 1_000;
+  private timer: { readonly atMs: number; readonly run: () => void } | undefined;
+
+  constructor(route: Partial<Route> = {}, upstreamIds: readonly string[] = ['a', 'b']) {
+    const board = createBoard();
+    const options = createOptions()._unsafeUnwrap();
+    const loop = new TaskLoop(
+      {
+        nowMs: () => this.nowMs,
+        startTimer: (delayMs, run) => {
+          const timer = { atMs: this.nowMs + delayMs, run };
+          this.timer = timer;
+          return () => {
+            this.timer = this.timer === timer ? undefined : this.timer;
+          };
+        },
+      },
+      (task, cause) => {
+        throw new Error(`task ${task} failed`, { cause });
+      },
+    );
+    const routes = [{ ...ROUTE, ...route }];
+    board.configuration = {
+      version: 1,
+      routes,
+      services: new Map([['orders', { name: 'orders', maxConnections: 10, engine: undefined }]]),
+      organisations: new Map(),
+      requiresKeys: false,
+      limits: { maxHeaderBytes: 1_024, maxBodyBytes: 1_024, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+    };
+    board.routeTable = new RouteTable(routes);
+    for (const upstreamId of upstreamIds) {
+      const entry = {
+        upstreamId,
+        serviceName: 'orders',
+        address: '127.0.0.1:1',
+        availabilityZone: 'z',
+        state: UpstreamState.Ready,
+        slots: 1,
+        warmupLeftMs: 0,
+        bornMs: undefined,
+      };
+      board.upstreams.set(upstreamId, new UpstreamView(entry, options.placement));
+    }
+    const unused = (): never => {
+      throw new Error('not used');
+    };
+    this.context = {
+      board,
+      loop,
+      options,
+      self: {
+        routerId: 'r',
+        incarnationId: 'r-1',
+        callerAddress: '',
+        peerAddress: '',
+        region: 'x',
+        availabilityZone: 'z',
+        ready: true,
+      },
+      ledgerStore: { commit: unused },
+      peerPort: { borrow: unused },
+      upstreamPort: {
+        open: (upstream, request, attempt, report) =>
+          this.open(upstream.upstreamId, request, attempt, report),
+        forget: () => undefined,
+      },
+      log: () => undefined,
+      metrics: new GatewayMetrics(),
+      random: seededRandom(1),
+      place: { availabilityZone: 'z', region: 'x', regionOf: () => 'x' },
+      sharingRouters: () => 1,
+    };
+  }
+
+  advance(durationMs: number): void {
+    const untilMs = this.nowMs + durationMs;
+    while (this.timer !== undefined && this.timer.atMs <= untilMs) {
+      const { atMs, run } = this.timer;
+      this.timer = undefined;
+      this.nowMs = atMs;
+      run();
+    }
+    this.nowMs = untilMs;
+  }
+
+  /** The call that is open now. */
+  get call(): OpenedCall {
+    const call = this.calls.at(-1);
+    if (call === undefined) {
+      throw new Error('no upstream was called');
+    }
+    return call;
+  }
+
+  send(head: Partial<RequestHead> = {}): CallerView {
+    const events = new Channel<RequestEvent>();
+    let gone = false;
+    const { loop } = this.context;
+    const view: CallerView = {
+      status: undefined,
+      body: '',
+      ended: false,
+      aborted: false,
+      own: undefined,
+      leave: () => {
+        gone = true;
+        loop.push(events, { kind: RequestEventKind.CallerGone });
+      },
+    };
+    const exchange: CallerExchange = {
+      head: {
+        requestId: 'request-1',
+        method: 'GET',
+        target: '/stock/1',
+        host: 'shop.example',
+        deadlineMs: 800,
+        key: undefined,
+        usage: undefined,
+        promptParts: [],
+        lastEventId: undefined,
+        forwardHeaders: [],
+        ...head,
+      },
+      body: Buffer.alloc(0),
+      arrivedMs: this.nowMs,
+      events,
+      isGone: () => gone,
+      start: (status) => {
+        view.status = status;
+      },
+      write: (data) => {
+        view.body += data.toString();
+        return true;
+      },
+      end: () => {
+        view.ended = true;
+      },
+      abort: () => {
+        view.aborted = true;
+      },
+      answer: (answer) => {
+        view.own = answer;
+        view.status = answer.status;
+      },
+    };
+    loop.spawn('request', serveRequest(this.context, exchange));
+    return view;
+  }
+
+  private open(
+    upstreamId: string,
+    request: UpstreamRequest,
+    attempt: number,
+    report: (event: RequestEvent) => void,
+  ): { cancel(): void; discard(): void; pause(): void; resume(): void } {
+    const call: OpenedCall = {
+      upstreamId,
+      request,
+      cancelled: false,
+      sent: () => {
+        report({ kind: RequestEventKind.UpstreamSent, attempt });
+      },
+      head: (head = {}) => {
+        report({ kind: RequestEventKind.UpstreamHead, attempt, head: { ...ANSWER_HEAD, ...head } });
+      },
+      data: (text) => {
+        report({ kind: RequestEventKind.UpstreamData, attempt, data: Buffer.from(text) });
+      },
+      end: () => {
+        report({ kind: RequestEventKind.UpstreamEnd, attempt });
+      },
+      fail: () => {
+        report({ kind: RequestEventKind.UpstreamFailed, attempt, detail: 'reset' });
+      },
+    };
+    this.calls.push(call);
+    return {
+      cancel: () => {
+        call.cancelled = true;
+      },
+      discard: () => undefined,
+      pause: () => undefined,
+      resume: () => undefined,
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/__tests__/serveRequest.test.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Verdict } from '@pimentostall/core';
+import { RouteKind } from '../../types.ts';
+import { RequestRig } from './requestRig.ts';
+
+test('a safe answer that breaks midway is not joined with that of another upstream', () => {
+  const rig = new RequestRig();
+  const caller = rig.send();
+  rig.call.sent();
+  rig.call.head();
+  rig.call.data('half of');
+  rig.call.fail();
+  rig.call.sent();
+  rig.call.head();
+  rig.call.data('the whole answer');
+  rig.call.end();
+  assert.equal(rig.calls.length, 2);
+  assert.equal(caller.body, 'the whole answer');
+  assert.equal(caller.ended, true);
+});
+
+test('an unsafe request that may have run is not sent again and not called not run', () => {
+  const rig = new RequestRig({ kind: RouteKind.Unsafe, maxAttempts: 2 });
+  const caller = rig.send();
+  rig.call.sent();
+  rig.call.fail();
+  assert.equal(rig.calls.length, 1);
+  assert.equal(caller.status, 502);
+  assert.equal(caller.own?.verdict, Verdict.MayHaveRun);
+  assert.equal(caller.own.retryAfterMs, undefined);
+});
+
+test('an unsafe request whose connection never opened goes to another upstream', () => {
+  const rig = new RequestRig({ kind: RouteKind.Unsafe, maxAttempts: 1 });
+  rig.send();
+  rig.call.fail();
+  assert.equal(rig.calls.length, 2);
+  assert.notEqual(rig.calls[0]?.upstreamId, rig.calls[1]?.upstreamId);
+});
+
+test('a refusal by the upstream ends as not run with a time to come back', () => {
+  const rig = new RequestRig({ kind: RouteKind.Unsafe, maxAttempts: 1 });
+  const caller = rig.send();
+  rig.call.sent();
+  rig.call.head({ status: 503, notExecuted: true, signed: false });
+  assert.equal(caller.status, 503);
+  assert.equal(caller.own?.verdict, Verdict.DidNotRun);
+  assert.ok((caller.own.retryAfterMs ?? 0) > 0);
+});
+
+test('an answer that names another request is never passed on', () => {
+  const rig = new RequestRig({ kind: RouteKind.Unsafe, maxAttempts: 1 });
+  const caller = rig.send();
+  rig.call.sent();
+  rig.call.head({ answersRequest: false });
+  assert.equal(caller.status, 502);
+  assert.equal(rig.call.cancelled, true);
+});
+
+test('a request without an answer ends at its deadline as one that may have run', () => {
+  const rig = new RequestRig({ kind: RouteKind.Unsafe, maxAttempts: 1, timeoutMs: 500 });
+  const caller = rig.send();
+  rig.call.sent();
+  rig.advance(499);
+  assert.equal(caller.status, undefined);
+  rig.advance(500);
+  assert.equal(caller.status, 504);
+  assert.equal(caller.own?.verdict, Verdict.MayHaveRun);
+  assert.equal(rig.call.cancelled, true);
+});
+
+test('the upstream is given only the time that is left', () => {
+  const rig = new RequestRig({ timeoutMs: 700 });
+  rig.send({ deadlineMs: 800 });
+  rig.call.sent();
+  rig.advance(150);
+  rig.call.fail();
+  assert.deepEqual(
+    rig.calls.map(({ request }) => request.remainingMs),
+    [700, 550],
+  );
+});
+
+test('the work for a caller that leaves is cancelled', () => {
+  const rig = new RequestRig();
+  const caller = rig.send();
+  rig.call.sent();
+  caller.leave();
+  assert.equal(rig.call.cancelled, true);
+  assert.equal(rig.context.board.openRequests, 0);
+});
+
+const STREAM = { kind: RouteKind.Streaming, resumable: true, maxAttempts: 2, timeoutMs: 10_000 };
+
+test('a broken stream goes on at another engine without a gap or a repeat', () => {
+  const rig = new RequestRig(STREAM);
+  const caller = rig.send({ deadlineMs: 10_000 });
+  rig.call.sent();
+  rig.call.head();
+  rig.call.data('id: 1\ndata: a\n\nid: 2\nda');
+  rig.call.fail();
+  assert.equal(rig.call.request.lastEventId, '1');
+  rig.call.sent();
+  rig.call.head();
+  rig.call.data('id: 2\ndata: b\n\n');
+  rig.call.end();
+  assert.equal(caller.body, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+  assert.equal(caller.ended, true);
+});
+
+test('a stream that may not be resumed and breaks does not look complete', () => {
+  const rig = new RequestRig({ ...STREAM, resumable: false });
+  const caller = rig.send({ deadlineMs: 10_000 });
+  rig.call.sent();
+  rig.call.head();
+  rig.call.data('id: 1\ndata: a\n\n');
+  rig.call.fail();
+  assert.equal(rig.calls.length, 1);
+  assert.equal(caller.aborted, true);
+  assert.equal(caller.ended, false);
+});
+
+test('a stream moves on when its connection falls silent, and the first engine stops first', () => {
+  const rig = new RequestRig(STREAM);
+  rig.send({ deadlineMs: 10_000 });
+  rig.call.sent();
+  rig.call.head();
+  rig.call.data('id: 1\ndata: a\n\n');
+  rig.advance(rig.context.options.silentConnectionMs + 10);
+  assert.equal(rig.calls.length, 2);
+  assert.equal(rig.calls[0]?.cancelled, true);
+});
+
+test('a router without a configuration does not say that a route is unknown', () => {
+  const rig = new RequestRig();
+  rig.context.board.configuration = undefined;
+  const caller = rig.send();
+  assert.equal(caller.status, 503);
+  assert.equal(caller.own?.verdict, Verdict.DidNotRun);
+});
--- /dev/null
+++ b/packages/gateway/src/retries/__tests__/retryBudget.test.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RetryBudget } from '../retryBudget.ts';
+
+const OPTIONS = { ratio: 0.2, windowMs: 10_000, slack: 54 };
+
+test('ten routers that all use their repeats stay below the ratio and slack of the fleet', () => {
+  const routers = Array.from({ length: 10 }, () => new RetryBudget(OPTIONS));
+  let requests = 0;
+  let repeats = 0;
+  for (let atMs = 0; atMs < 10_000; atMs += 100) {
+    for (const budget of routers) {
+      budget.recordRequest(atMs);
+      requests += 1;
+      repeats += budget.tryRepeat(atMs, routers.length) ? 1 : 0;
+    }
+  }
+  assert.ok(repeats > 0);
+  assert.ok(
+    repeats <= OPTIONS.ratio * requests + OPTIONS.slack,
+    `${repeats} repeats of ${requests} requests`,
+  );
+});
+
+test('repeats are allowed again once the window has passed', () => {
+  const budget = new RetryBudget({ ...OPTIONS, slack: 2 });
+  assert.equal(budget.tryRepeat(0, 1), true);
+  assert.equal(budget.tryRepeat(0, 1), true);
+  assert.equal(budget.tryRepeat(5_000, 1), false);
+  assert.equal(budget.tryRepeat(10_500, 1), true);
+});
