--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -12,6 +12,10 @@
   'timers/promises',
 ];
 
+/** Names of the users' wire: only platform/ may know them. */
+const wireNames =
+  '/^(x-attempt-id|x-response-signature|x-expected-instance|x-not-executed|x-token-usage|x-prompt-prefix|x-tenant|x-api-key|rows-tx|expected-revision|row-version|table-name)$/i';
+
 export default tseslint.config(
   { ignores: ['**/node_modules/**', 'dist/**', 'packages/shell/src/generated/**', '**/*.mjs'] },
   ...tseslint.configs.strictTypeChecked,
@@ -41,9 +45,9 @@
     rules: { '@typescript-eslint/no-floating-promises': 'off' },
   },
   {
-    // The core must be drivable by any bench, clock and network, so it may not reach outside by itself.
-    files: ['packages/core/src/**/*.ts'],
-    ignores: ['packages/core/src/**/__tests__/**'],
+    // Decisions must be drivable by any bench, clock and network, so they may not reach outside by themselves.
+    files: ['packages/core/src/**/*.ts', 'packages/gateway/src/**/*.ts'],
+    ignores: ['packages/*/src/**/__tests__/**', 'packages/gateway/src/http/**'],
     rules: {
       'no-restricted-imports': [
         'error',
@@ -76,4 +80,20 @@
       ],
     },
   },
+  {
+    files: ['packages/gateway/src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: `Literal[value=${wireNames}]`,
+          message: 'Only platform/ knows the names of the wire; use a typed field.',
+        },
+        {
+          selector: "NewExpression[callee.name='Date'][arguments.length=0]",
+          message: 'Use the injected clock.',
+        },
+      ],
+    },
+  },
 );
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,8 @@
 export type { GatewayBoard, RouterView } from './blackboard.ts';
 export { createBoard } from './blackboard.ts';
 export type { GatewayContext } from './context.ts';
+export type { DrainActions } from './drain/drainController.ts';
+export { drainRouter } from './drain/drainController.ts';
 export { entryAnswer } from './membership/entryAnswer.ts';
 export type { LedgerAccount } from './money/ledgerController.ts';
 export {
