--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -17,7 +17,7 @@
   '/^(x-attempt-id|x-response-signature|x-expected-instance|x-not-executed|x-token-usage|x-prompt-prefix|x-tenant|x-api-key|rows-tx|expected-revision|row-version|table-name)$/i';
 
 export default tseslint.config(
-  { ignores: ['**/node_modules/**', 'dist/**', 'packages/shell/src/generated/**', '**/*.mjs'] },
+  { ignores: ['**/node_modules/**', 'dist/**', 'target/**', 'packages/shell/src/generated/**', '**/*.mjs'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
