Name what a refusal for lack of tokens rests on, and close a request that meets a defect

Change: tokens, row version and ages in the line; a defect is logged with the request's id and closes the connection.

--- a/packages/gateway/src/requests/__tests__/serveRequest.test.ts
+++ b/packages/gateway/src/requests/__tests__/serveRequest.test.ts
@@ -139,3 +139,16 @@
   assert.equal(caller.status, 503);
   assert.equal(caller.own?.verdict, Verdict.DidNotRun);
 });
+
+test('a defect closes the connection at once and does not leave the caller waiting', () => {
+  const rig = new RequestRig();
+  rig.context.board.upstreams.clear();
+  Object.defineProperty(rig.context.board, 'upstreams', {
+    get: () => {
+      throw new Error('defect');
+    },
+  });
+  const caller = rig.send();
+  assert.equal(caller.aborted, true);
+  assert.equal(rig.context.board.openRequests, 0);
+});
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -1,7 +1,13 @@
 import type { Task } from '@pimentostall/core';
 import { AttemptState, Verdict } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
-import { openAccount, reserveTokens, ReserveOutcomeKind, settleTokens } from '../money/ledgerController.ts';
+import {
+  budgetOf,
+  openAccount,
+  reserveTokens,
+  ReserveOutcomeKind,
+  settleTokens,
+} from '../money/ledgerController.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
 import { chooseUpstream } from '../placement/chooseUpstream.ts';
@@ -31,6 +37,13 @@
       return;
     }
     yield* serveAdmitted(context, admitted.request);
+  } catch (cause) {
+    // A defect: the caller must not wait for an answer that never comes, and a closed connection promises nothing.
+    context.log(LogLevel.Error, 'request failed by a defect', {
+      requestId: exchange.head.requestId,
+      cause: cause instanceof Error ? cause.stack : String(cause),
+    });
+    exchange.abort();
   } finally {
     context.board.openRequests -= 1;
   }
@@ -94,7 +107,14 @@
   try {
     const refusal = yield* reserve(context, request);
     if (refusal !== undefined) {
-      finish(context, request.exchange, request, refusal, 'no tokens could be reserved');
+      finish(
+        context,
+        request.exchange,
+        request,
+        refusal,
+        'no tokens could be reserved',
+        budgetInputs(context, request),
+      );
       return;
     }
     yield* attemptUntilDone(context, request);
@@ -138,6 +158,27 @@
   }
 }
 
+/** What a refusal for lack of tokens rests on, with its age and version. */
+function budgetInputs(context: GatewayContext, request: ServedRequest): Readonly<Record<string, unknown>> {
+  const { usage } = request.exchange.head;
+  const account = context.board.accounts.get(request.organisationName ?? '');
+  if (account === undefined || usage === undefined) {
+    return {};
+  }
+  const { ledger } = account;
+  const nowMs = context.loop.nowMs();
+  return {
+    neededTokens: usage.promptTokens + usage.maxOutputTokens,
+    freeTokens: ledger.freeTokens,
+    budgetTokens: budgetOf(context.board, account.organisationName),
+    grantedTokens: ledger.rows.total.grantedTokens,
+    settledTokens: ledger.rows.total.settledTokens,
+    rowVersion: ledger.rows.totalVersion,
+    rowAgeMs: ledger.syncedAtMs === undefined ? undefined : Math.round(nowMs - ledger.syncedAtMs),
+    storeSilentMs: Math.round(nowMs - (context.board.storeHeardMs ?? nowMs)),
+  };
+}
+
 function settle(context: GatewayContext, request: ServedRequest): void {
   const { reservation } = request;
   if (reservation === undefined) {
@@ -241,6 +282,7 @@
   request: ServedRequest | undefined,
   reason: AnswerReason | undefined,
   detail: string,
+  inputs: Readonly<Record<string, unknown>> = {},
 ): void {
   const verdict = request === undefined ? Verdict.DidNotRun : requestVerdict(request);
   let status: number | undefined;
@@ -267,6 +309,7 @@
     events: request?.deliveredEvents,
     firstDataMs: elapsedMs(exchange, request?.firstDataMs),
     totalMs: elapsedMs(exchange, context.loop.nowMs()),
+    ...inputs,
   });
   context.metrics.recordRequest({
     organisation: request?.organisationName ?? 'none',
