--- a/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
+++ b/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
@@ -12,14 +12,12 @@
 const codec: WireCodec = {
   decodeRequest: () => assert.fail('not used'),
   encodeUpstreamRequest: () => [],
-  decodeUpstreamHead: (_request, _upstream, status, rawHeaders) => ({
+  decodeUpstreamHead: (_request, status, rawHeaders) => ({
     status,
     notExecuted: false,
     wrongInstance: false,
     answersRequest: true,
     signed: true,
-    closesConnection: false,
-    retryAfterMs: undefined,
     forwardHeaders: rawHeaders,
   }),
   encodeOwnAnswer: () => assert.fail('not used'),
--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -36,7 +36,7 @@
     attempt: number,
     report: (event: RequestEvent) => void,
   ): UpstreamCall {
-    const call = new HttpCall(this.codec, upstream, request, attempt, report);
+    const call = new HttpCall(this.codec, request, attempt, report);
     const { method, target } = request.head;
     const options: CallOptions = {
       call,
@@ -140,7 +140,6 @@
 
   constructor(
     private readonly codec: WireCodec,
-    private readonly upstream: UpstreamEntry,
     private readonly request: UpstreamRequest,
     private readonly attempt: number,
     private readonly report: (event: RequestEvent) => void,
@@ -205,7 +204,7 @@
     this.endsWithConnection = !headers.some(
       (name, index) => index % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()),
     );
-    const head = this.codec.decodeUpstreamHead(this.request, this.upstream, status, headers);
+    const head = this.codec.decodeUpstreamHead(this.request, status, headers);
     this.report({ kind: RequestEventKind.UpstreamHead, attempt: this.attempt, head });
   }
 
--- a/packages/gateway/src/http/wireCodec.ts
+++ b/packages/gateway/src/http/wireCodec.ts
@@ -13,11 +13,6 @@
   decodeRequest(message: IncomingMessage): RequestHead;
   /** Headers of a request to an upstream, as alternating names and values. */
   encodeUpstreamRequest(upstream: UpstreamEntry, request: UpstreamRequest): string[];
-  decodeUpstreamHead(
-    request: UpstreamRequest,
-    upstream: UpstreamEntry,
-    status: number,
-    rawHeaders: readonly string[],
-  ): UpstreamHead;
+  decodeUpstreamHead(request: UpstreamRequest, status: number, rawHeaders: readonly string[]): UpstreamHead;
   encodeOwnAnswer(answer: OwnAnswer): EncodedAnswer;
 }
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -40,8 +40,6 @@
   wrongInstance: false,
   answersRequest: true,
   signed: true,
-  closesConnection: false,
-  retryAfterMs: undefined,
   forwardHeaders: [],
 };
 
--- a/packages/gateway/src/requests/ports.ts
+++ b/packages/gateway/src/requests/ports.ts
@@ -42,9 +42,6 @@
   readonly answersRequest: boolean;
   /** The answer bears the upstream's signature. */
   readonly signed: boolean;
-  /** The upstream closes the connection after the answer. */
-  readonly closesConnection: boolean;
-  readonly retryAfterMs: number | undefined;
   /** Headers that go on to the caller, as alternating names and values. */
   readonly forwardHeaders: readonly string[];
 }
--- a/packages/gateway/src/retries/retryBudget.ts
+++ b/packages/gateway/src/retries/retryBudget.ts
@@ -8,10 +8,7 @@
 
 /** Buckets per window: the resolution with which old requests leave the count. */
 const BUCKETS_PER_WINDOW = 20;
-/**
- * Part of the ratio that is used: the other routers' counts shift between windows, and a request may be counted in
- * an earlier window than its repeat.
- */
+/** Part of the ratio that is used, since a request may be counted in an earlier window than its repeat. */
 const RATIO_USED = 0.8;
 
 interface Bucket {
