Say what an entry answer holds as it is

Cause: the comment told of a preference for the caller's region that the code does not have. Change: the comment only. Result: no behaviour changed; tests not run again for it.

--- a/packages/gateway/src/membership/entryAnswer.ts
+++ b/packages/gateway/src/membership/entryAnswer.ts
@@ -9,9 +9,8 @@
 }
 
 /**
- * Addresses of the routers that a caller should connect to. All routers that are ready and heard of late are named,
- * so that the loss of an availability zone leaves addresses that work; the caller's region comes alone while it has
- * at least two routers, since bytes between regions are slow and dear.
+ * Addresses of the routers that a caller may connect to: all that are ready and were heard of late, so that the loss
+ * of an availability zone leaves addresses that work.
  *
  * @param storeHeardMs time of the last reply of the store: rows are only judged silent while the store answers.
  */
