Enforce the operator's bound on headers

Cause: the read-through found that only the parser's bound of 64 KB held. Change: headers over the limit in force are refused with 431; tests of the callers' server with real sockets.

--- /dev/null
+++ b/packages/gateway/src/http/__tests__/callerServer.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import type { IncomingMessage } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { connect } from 'node:net';
+import { after, test } from 'node:test';
+import { request } from 'undici';
+import { RequestRig } from '../../requests/__tests__/requestRig.ts';
+import { CallerServer } from '../callerServer.ts';
+import type { WireCodec } from '../wireCodec.ts';
+
+const codec: WireCodec = {
+  decodeRequest: (message: IncomingMessage) => ({
+    requestId: 'request-1',
+    method: message.method ?? '',
+    target: message.url ?? '',
+    host: 'shop.example',
+    deadlineMs: 800,
+    key: undefined,
+    usage: undefined,
+    promptParts: [],
+    lastEventId: undefined,
+    forwardHeaders: [],
+  }),
+  encodeUpstreamRequest: () => [],
+  decodeUpstreamHead: () => assert.fail('not used'),
+  encodeOwnAnswer: ({ status, reason }) => ({ status, headers: [], body: reason }),
+};
+
+const rig = new RequestRig();
+const callers = new CallerServer(rig.context, codec);
+await new Promise<void>((resolve) => callers.server.listen(0, '127.0.0.1', resolve));
+const { port } = callers.server.address() as AddressInfo;
+const address = `http://127.0.0.1:${port}`;
+after(() => {
+  callers.server.closeAllConnections();
+  callers.server.close();
+});
+
+test('a body or header over its limit is refused, and nothing reaches an upstream', async () => {
+  const body = await request(`${address}/stock/1`, { method: 'POST', body: 'x'.repeat(2_000) });
+  assert.equal(body.statusCode, 413);
+  const header = await request(`${address}/stock/1`, { headers: { 'x-long': 'x'.repeat(2_000) } });
+  assert.equal(header.statusCode, 431);
+  assert.equal(rig.calls.length, 0);
+});
+
+test('a message that is framed in two ways is refused and its connection closed', async () => {
+  const answer = await new Promise<string>((resolve) => {
+    const socket = connect(port, '127.0.0.1');
+    let text = '';
+    socket.on('data', (data) => {
+      text += data.toString();
+    });
+    socket.on('close', () => {
+      resolve(text);
+    });
+    socket.write(
+      'POST /stock/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /',
+    );
+  });
+  assert.match(answer, /^HTTP\/1\.1 400 /);
+  assert.equal(rig.calls.length, 0);
+});
+
+test('an answer goes out with the upstream status, and a caller that leaves ends its work', async () => {
+  const answer = request(`${address}/stock/1`);
+  while (rig.calls.length === 0) {
+    await new Promise(setImmediate);
+  }
+  rig.call.sent();
+  rig.call.head();
+  rig.call.data('kits');
+  rig.call.end();
+  const { statusCode, body } = await answer;
+  assert.equal(statusCode, 200);
+  assert.equal(await body.text(), 'kits');
+  const leaver = new AbortController();
+  const abandoned = request(`${address}/stock/2`, { signal: leaver.signal });
+  while (rig.calls.length === 1) {
+    await new Promise(setImmediate);
+  }
+  rig.call.sent();
+  leaver.abort();
+  await assert.rejects(abandoned);
+  while (!rig.call.cancelled) {
+    await new Promise(setImmediate);
+  }
+});
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -64,6 +64,11 @@
   private accept(message: IncomingMessage, response: ServerResponse): void {
     const arrivedMs = this.context.loop.nowMs();
     const limits = this.context.board.configuration?.limits ?? INITIAL_LIMITS;
+    if (headerBytes(message) > limits.maxHeaderBytes) {
+      refuse(response, 431);
+      message.resume();
+      return;
+    }
     const head = this.codec.decodeRequest(message);
     const exchange = new HttpExchange(this.context, this.codec, head, response, arrivedMs);
     openExchanges.add(message.socket);
@@ -78,7 +83,7 @@
       if (sizeBytes <= limits.maxBodyBytes) {
         chunks.push(chunk);
       } else if (!response.headersSent) {
-        refuseBody(response);
+        refuse(response, 413);
       }
     });
     message.on('end', () => {
@@ -101,11 +106,20 @@
   return openExchanges.has(socket);
 }
 
-function refuseBody(response: ServerResponse): void {
-  response.writeHead(413, { Connection: 'close', 'Content-Length': 0 });
+/** Ends a request that breaks a limit, and its connection once the answer is read. */
+function refuse(response: ServerResponse, status: 413 | 431): void {
+  response.writeHead(status, { Connection: 'close', 'Content-Length': 0 });
   response.end();
 }
 
+/** Bytes of a colon, a space and a line end around each header. */
+const HEADER_FRAME_BYTES = 4;
+
+function headerBytes({ rawHeaders }: IncomingMessage): number {
+  const textBytes = rawHeaders.reduce((sum, part) => sum + part.length, 0);
+  return textBytes + (rawHeaders.length / 2) * HEADER_FRAME_BYTES;
+}
+
 class HttpExchange implements CallerExchange {
   readonly events = new Channel<RequestEvent>();
   body: Buffer = Buffer.alloc(0);
