--- /dev/null
+++ b/packages/gateway/src/money/__tests__/planShare.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { SharePlanInput } from '../planShare.ts';
+import { DEFAULT_SHARE_PLAN, planShare } from '../planShare.ts';
+
+const INPUT: SharePlanInput = {
+  freeTokens: 0,
+  neededTokens: 0,
+  leastNeededTokens: 0,
+  usualRequestTokens: 1_000,
+  largestRequestTokens: 2_000,
+  demandTokensPerSecond: 5_000,
+  demandPart: 0.5,
+  budgetTokens: 100_000,
+  grantedTokens: 0,
+  leftTokens: 100_000,
+  heldTokens: 0,
+};
+const plan = (change: Partial<SharePlanInput>): number =>
+  planShare({ ...INPUT, ...change }, DEFAULT_SHARE_PLAN);
+
+test('routers whose parts add up to more than one leave a part of the budget undrawn', () => {
+  let grantedTokens = 0;
+  for (let router = 0; router < 9; router += 1) {
+    grantedTokens += plan({ grantedTokens, heldTokens: grantedTokens });
+  }
+  assert.ok(
+    grantedTokens <= DEFAULT_SHARE_PLAN.heldFraction * INPUT.budgetTokens,
+    `${grantedTokens} are drawn`,
+  );
+});
+
+test('a waiting request draws beyond what is held ahead of need, but not beyond the budget', () => {
+  const held = { grantedTokens: 90_000, heldTokens: 90_000 };
+  assert.equal(plan({ ...held, neededTokens: 8_000, leastNeededTokens: 8_000 }), 8_000);
+  assert.equal(plan({ ...held, neededTokens: 12_000, leastNeededTokens: 12_000 }), 0);
+  assert.equal(plan({ ...held, neededTokens: 12_000, leastNeededTokens: 4_000 }), 10_000);
+});
+
+test('free tokens flow back after the budget was cut below what is drawn', () => {
+  assert.equal(plan({ freeTokens: 30_000, grantedTokens: 120_000 }), -20_000);
+  assert.equal(plan({ freeTokens: 5_000, grantedTokens: 120_000 }), -5_000);
+});
+
+test('a share that cannot hold a usual request is given back whole', () => {
+  const drained = { leftTokens: 1_500, heldTokens: 1_500, grantedTokens: 100_000 };
+  assert.equal(plan({ ...drained, freeTokens: 700 }), -700);
+});
