--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -40,7 +40,7 @@
     const { method, target } = request.head;
     const options: CallOptions = {
       call,
-      method: method,
+      method,
       path: target,
       headers: this.codec.encodeUpstreamRequest(upstream, request),
       body: request.body.length === 0 ? null : request.body,
