--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -37,6 +37,8 @@
   openRequests: number;
   /** Monotonic time of the last reply of the store; undefined before the first. */
   storeHeardMs: number | undefined;
+  /** Monotonic time at which the store last answered after an outage; undefined before the first outage. */
+  storeRegainedMs: number | undefined;
 }
 
 export function createBoard(): GatewayBoard {
@@ -56,5 +58,6 @@
     returningShares: false,
     openRequests: 0,
     storeHeardMs: undefined,
+    storeRegainedMs: undefined,
   };
 }
