Do not serve callers that left while the router was held up; keep routers listed after an outage

Read on the way: right after an outage of the store all other routers' rows are old, so an entry answer named only the router itself until they had written again.

Change: a request is dispatched three turns of the event loop after it was read, when a close that waited behind it has been reported. Rows of routers are judged silent only over a time in which the store answered.

Failed trial, reverted: routers beyond 1.5 times their fair part of the requests closed connections after the answer.

--- a/packages/gateway/src/http/__tests__/callerServer.test.ts
+++ b/packages/gateway/src/http/__tests__/callerServer.test.ts
@@ -86,3 +86,17 @@
     await new Promise(setImmediate);
   }
 });
+
+test('a caller that left while the router was held up is not served', async () => {
+  const callsBefore = rig.calls.length;
+  const socket = connect(port, '127.0.0.1');
+  await new Promise((resolve) => socket.once('connect', resolve));
+  await new Promise(setImmediate);
+  // Both the request and the close wait in the socket before the server reads it.
+  socket.write('GET /stock/3 HTTP/1.1\r\nHost: shop.example\r\n\r\n');
+  socket.destroy();
+  for (let turn = 0; turn < 10; turn += 1) {
+    await new Promise(setImmediate);
+  }
+  assert.equal(rig.calls.length, callsBefore);
+});
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -22,6 +22,9 @@
 /** Longest header section that Node parses; the limit in force is checked on each request. */
 const PARSER_HEADER_BYTES = 65_536;
 
+/** Turns of the event loop until a close that waited behind a request is reported: one reads it, the next reports it. */
+const DISPATCH_TURNS = 3;
+
 /** Accepts callers' requests, reads them whole and hands each to a task of its own. */
 export class CallerServer {
   readonly server: Server;
@@ -89,7 +92,7 @@
     message.on('end', () => {
       if (sizeBytes <= limits.maxBodyBytes && !exchange.isGone()) {
         exchange.body = chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
-        this.context.loop.spawn('request', serveRequest(this.context, exchange));
+        this.dispatch(exchange);
       }
     });
     message.on('error', () => {
@@ -97,6 +100,29 @@
       exchange.closed();
     });
   }
+
+  /**
+   * Serves a request some turns of the event loop later. A router that was held up reads a request and the close of its
+   * connection, which came later, in two turns: without the pause it would serve a caller that has left.
+   */
+  private dispatch(exchange: HttpExchange): void {
+    const { board, loop } = this.context;
+    board.openRequests += 1;
+    afterTurns(DISPATCH_TURNS, () => {
+      board.openRequests -= 1;
+      loop.spawn('request', serveRequest(this.context, exchange));
+    });
+  }
+}
+
+function afterTurns(turns: number, callback: () => void): void {
+  setImmediate(() => {
+    if (turns > 1) {
+      afterTurns(turns - 1, callback);
+    } else {
+      callback();
+    }
+  });
 }
 
 /** Sockets with a request that is not answered yet: an error answer in between would belong to another request. */
--- a/packages/gateway/src/membership/entryAnswer.ts
+++ b/packages/gateway/src/membership/entryAnswer.ts
@@ -1,9 +1,11 @@
-import type { RouterView } from '../blackboard.ts';
+import type { GatewayBoard, RouterView } from '../blackboard.ts';
 import type { RouterEntry } from '../types.ts';
 
 /** Most addresses that one entry answer holds. */
 const MAX_ADDRESSES = 64;
 
+export type StoreHeard = Pick<GatewayBoard, 'storeHeardMs' | 'storeRegainedMs'>;
+
 export interface EntryAnswerOptions {
   readonly routerSilentMs: number;
 }
@@ -12,21 +14,23 @@
  * Addresses of the routers that a caller may connect to: all that are ready and were heard of late, so that the loss
  * of an availability zone leaves addresses that work.
  *
- * @param storeHeardMs time of the last reply of the store: rows are only judged silent while the store answers.
+ * @param store when the store was heard: rows are only judged silent over a time in which it answered without a gap.
  */
 export function entryAnswer(
   self: RouterEntry,
   selfReady: boolean,
   routers: Iterable<RouterView>,
   nowMs: number,
-  storeHeardMs: number | undefined,
+  store: StoreHeard,
   options: EntryAnswerOptions,
 ): string[] {
-  const judgedAtMs = Math.min(nowMs, storeHeardMs ?? nowMs);
+  const judgedAtMs = Math.min(nowMs, store.storeHeardMs ?? nowMs);
+  const judgedFromMs = store.storeRegainedMs ?? -Infinity;
+  const isHeard = (changedAtMs: number): boolean =>
+    judgedAtMs - Math.max(changedAtMs, judgedFromMs) <= options.routerSilentMs;
   const others = [...routers]
     .filter(
-      ({ entry, changedAtMs }) =>
-        entry.routerId !== self.routerId && entry.ready && judgedAtMs - changedAtMs <= options.routerSilentMs,
+      ({ entry, changedAtMs }) => entry.routerId !== self.routerId && entry.ready && isHeard(changedAtMs),
     )
     .map(({ entry }) => entry.callerAddress);
   const addresses = selfReady ? [self.callerAddress, ...others] : others;
