Let a few home routers draw an organisation's money, and take lost loans back

Change: in fleets of 16 routers or more, an organisation has three homes by rendezvous hashing; a router with fewer than four requests in 14 s borrows from them instead of drawing. Shares are filled up below 75% of the target, writes that may wait leave half of the rate to urgent ones, accounts back off in proportion to their number. The fleet's prior demand no longer grows with the routers. The borrower takes a loan back whose answer it did not hear.

--- a/packages/gateway/src/http/peerLoans.ts
+++ b/packages/gateway/src/http/peerLoans.ts
@@ -4,14 +4,17 @@
 import { Agent, request } from 'undici';
 import type { GatewayContext } from '../context.ts';
 import { openAccount } from '../money/ledgerController.ts';
-import type { LoanRequest, PeerPort } from '../money/lending.ts';
-import { lendTokens } from '../money/lending.ts';
+import type { LoanCancellation, LoanRequest, PeerPort } from '../money/lending.ts';
+import { lendTokens, takeBackLoan } from '../money/lending.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { RouterEntry } from '../types.ts';
 
 const LOAN_PATH = '/loans';
-/** Time for a peer's answer: twice the way between regions and back. */
-const LOAN_TIMEOUT_MS = 80;
+const CANCEL_PATH = '/loans/cancel';
+/** Time for a peer's answer: the way between regions and back, a draw, and as much again. */
+const LOAN_TIMEOUT_MS = 120;
+/** Time for the answer to a cancellation, for which nobody waits. */
+const CANCEL_TIMEOUT_MS = 1_000;
 /** Connections kept to one peer. */
 const CONNECTIONS_PER_PEER = 2;
 const MAX_LOAN_REQUEST_BYTES = 4_096;
@@ -25,20 +28,32 @@
 
   constructor(private readonly log: GatewayContext['log']) {}
 
-  async borrow(peer: RouterEntry, loan: LoanRequest): Promise<number> {
+  async borrow(peer: RouterEntry, loan: LoanRequest): Promise<number | undefined> {
+    const answer = (await this.post(peer, LOAN_PATH, loan, LOAN_TIMEOUT_MS)) as
+      { tokens?: unknown } | undefined;
+    if (answer === undefined) {
+      return undefined;
+    }
+    return isTokens(answer.tokens) ? answer.tokens : 0;
+  }
+
+  async cancel(peer: RouterEntry, cancellation: LoanCancellation): Promise<boolean> {
+    return (await this.post(peer, CANCEL_PATH, cancellation, CANCEL_TIMEOUT_MS)) !== undefined;
+  }
+
+  /** Returns the answer's body, undefined if there is no answer. */
+  private async post(peer: RouterEntry, path: string, body: object, timeoutMs: number): Promise<unknown> {
     try {
-      const response = await request(`http://${peer.peerAddress}${LOAN_PATH}`, {
+      const response = await request(`http://${peer.peerAddress}${path}`, {
         dispatcher: this.agent,
         method: 'POST',
-        body: JSON.stringify(loan),
-        signal: AbortSignal.timeout(LOAN_TIMEOUT_MS),
+        body: JSON.stringify(body),
+        signal: AbortSignal.timeout(timeoutMs),
       });
-      const answer = (await response.body.json()) as { tokens?: unknown };
-      return typeof answer.tokens === 'number' && answer.tokens > 0 ? answer.tokens : 0;
+      return (await response.body.json()) ?? undefined;
     } catch (cause) {
-      // A loan that the peer has made and that is not heard of here stays with the peer as spent.
-      this.log(LogLevel.Debug, 'peer did not answer', { peer: peer.routerId, cause: String(cause) });
-      return 0;
+      this.log(LogLevel.Debug, 'peer did not answer', { peer: peer.routerId, path, cause: String(cause) });
+      return undefined;
     }
   }
 }
@@ -55,40 +70,63 @@
       }
     });
     message.on('end', () => {
-      const loan = message.url === LOAN_PATH ? decodeLoan(Buffer.concat(chunks).toString('utf8')) : undefined;
-      if (loan === undefined) {
+      const text = Buffer.concat(chunks).toString('utf8');
+      const loan = message.url === LOAN_PATH ? decodeLoan(text) : undefined;
+      const cancellation = message.url === CANCEL_PATH ? decodeCancellation(text) : undefined;
+      if (loan !== undefined) {
+        context.loop.spawn('loan', answerLoan(context, loan, response));
+      } else if (cancellation !== undefined) {
+        takeBackLoan(context, openAccount(context, cancellation.organisationName), cancellation.loanId);
+        answerJson(response, {});
+      } else {
         context.log(LogLevel.Warn, 'request of a peer cannot be read', { url: message.url, sizeBytes });
         response.writeHead(400, { 'Content-Length': 0 });
         response.end();
-        return;
       }
-      context.loop.spawn('loan', answerLoan(context, loan, response));
     });
   });
 }
 
 function* answerLoan(context: GatewayContext, loan: LoanRequest, response: ServerResponse): Task<void> {
-  const budgeted = context.board.configuration?.organisations.get(loan.organisationName)?.reservedTokens;
-  const tokens =
-    budgeted === undefined
-      ? 0
-      : yield* lendTokens(context, openAccount(context, loan.organisationName), loan);
-  const body = JSON.stringify({ tokens });
+  const tokens = isBudgeted(context, loan.organisationName)
+    ? yield* lendTokens(context, openAccount(context, loan.organisationName), loan)
+    : 0;
+  answerJson(response, { tokens });
+}
+
+function isBudgeted({ board }: GatewayContext, organisationName: string): boolean {
+  return board.configuration?.organisations.get(organisationName)?.reservedTokens !== undefined;
+}
+
+function answerJson(response: ServerResponse, answer: object): void {
+  const body = JSON.stringify(answer);
   response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) });
   response.end(body);
 }
 
-function decodeLoan(text: string): LoanRequest | undefined {
-  let fields: Partial<Record<keyof LoanRequest, unknown>>;
+type LoanFields = Partial<Record<keyof LoanRequest, unknown>>;
+
+function parseFields(text: string): LoanFields {
   try {
-    fields = JSON.parse(text) as typeof fields;
+    return JSON.parse(text) as LoanFields;
   } catch {
     // The caller logs what could not be read.
-    return undefined;
+    return {};
   }
-  const { organisationName, leastTokens, wantedTokens } = fields;
-  return typeof organisationName === 'string' && isTokens(leastTokens) && isTokens(wantedTokens)
-    ? { organisationName, leastTokens, wantedTokens }
+}
+
+function decodeLoan(text: string): LoanRequest | undefined {
+  const cancellation = decodeCancellation(text);
+  const { leastTokens, wantedTokens } = parseFields(text);
+  return cancellation !== undefined && isTokens(leastTokens) && isTokens(wantedTokens)
+    ? { ...cancellation, leastTokens, wantedTokens }
+    : undefined;
+}
+
+function decodeCancellation(text: string): LoanCancellation | undefined {
+  const { loanId, organisationName } = parseFields(text);
+  return typeof loanId === 'string' && typeof organisationName === 'string'
+    ? { loanId, organisationName }
     : undefined;
 }
 
--- a/packages/gateway/src/money/__tests__/ledgerController.test.ts
+++ b/packages/gateway/src/money/__tests__/ledgerController.test.ts
@@ -23,3 +23,35 @@
     `${fleet.commits.rejected} changes were sent in ${WAIT_MS} ms`,
   );
 });
+
+test('loans whose answers are lost are taken back, and the whole budget can be spent', async () => {
+  // Guards against tokens that a lender counts as spent for ever, though the borrower never had them.
+  const budgetTokens = 60_000;
+  const fleet = new SimulatedFleet(3, budgetTokens, seededRandom(22));
+  const check = (): void => {
+    assert.ok(fleet.spentTokens <= budgetTokens);
+  };
+  await fleet.timeline.advance(500, check);
+  for (let request = 0; request < 60; request += 1) {
+    fleet.request(1, 800, 0.5, 50);
+    await fleet.timeline.advance(30, check);
+  }
+  for (const index of fleet.routerIndexes()) {
+    fleet.modes[index] = StoreMode.Unreachable;
+  }
+  for (let request = 0; request < 150; request += 1) {
+    fleet.request(request % 2 === 0 ? 0 : 2, 800, 1, 50);
+    await fleet.timeline.advance(40, check);
+  }
+  assert.ok(fleet.lostLoanTokens > 0, 'no answer was lost');
+  for (const index of fleet.routerIndexes()) {
+    fleet.modes[index] = StoreMode.Up;
+  }
+  await fleet.timeline.advance(15_000, check);
+  for (let request = 0; request < 150; request += 1) {
+    fleet.request(request % 3, 800, 1, 50);
+    await fleet.timeline.advance(40, check);
+  }
+  const unspentTokens = budgetTokens - fleet.spentTokens;
+  assert.ok(unspentTokens < 800, `${unspentTokens} tokens cannot be spent`);
+});
--- a/packages/gateway/src/money/__tests__/manyRouters.test.ts
+++ b/packages/gateway/src/money/__tests__/manyRouters.test.ts
@@ -1,15 +1,19 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { seededRandom } from '@pimentostall/core';
-import { SimulatedFleet } from './simulatedFleet.ts';
+import { SimulatedFleet, StoreMode } from './simulatedFleet.ts';
 
 const ROUTERS = 60;
 const SECONDS = 10;
 const REQUEST_TOKENS = 2_000;
 /** Pause between requests of all routers: one request per router every 2.4 s. */
 const REQUEST_PAUSE_MS = 40;
+/** Pause between requests in the second test: one request per router every 9 s. */
+const SPARSE_PAUSE_MS = 150;
 /** Ample: no request is refused for lack of money. */
 const BUDGET_TOKENS = 4_000_000;
+/** A third more than the requests of the second test ask for. */
+const TIGHT_BUDGET_TOKENS = 360_000;
 /** Store calls per request at which sixty routers with two dozen busy organisations stay within the store's rates. */
 const MAX_WRITES_PER_REQUEST = 6;
 
@@ -33,3 +37,28 @@
     `${writes} writes for ${requests} requests, ${fleet.commits.conflict - before.conflict} of them conflicts`,
   );
 });
+
+test('sixty routers go on serving sparse requests while the store is silent for eight seconds', async () => {
+  // Guards against routers without a share of their own that find no lender among many peers.
+  const random = seededRandom(11);
+  const fleet = new SimulatedFleet(ROUTERS, TIGHT_BUDGET_TOKENS, random);
+  const noCheck = (): void => undefined;
+  await fleet.timeline.advance(500, noCheck);
+  const play = async (durationMs: number): Promise<number> => {
+    const servedBefore = fleet.servedCount;
+    let requests = 0;
+    for (let atMs = 0; atMs < durationMs; atMs += SPARSE_PAUSE_MS) {
+      fleet.request(Math.floor(random() * ROUTERS), REQUEST_TOKENS, 0.8, 300);
+      requests += 1;
+      await fleet.timeline.advance(SPARSE_PAUSE_MS, noCheck);
+    }
+    await fleet.timeline.advance(300, noCheck);
+    return (fleet.servedCount - servedBefore) / requests;
+  };
+  assert.equal(await play(12_000), 1);
+  for (const index of fleet.routerIndexes()) {
+    fleet.modes[index] = StoreMode.Unreachable;
+  }
+  const servedPart = await play(8_000);
+  assert.ok(servedPart >= 0.9, `${(servedPart * 100).toFixed(1)} in 100 requests are served`);
+});
--- a/packages/gateway/src/money/__tests__/planShare.test.ts
+++ b/packages/gateway/src/money/__tests__/planShare.test.ts
@@ -9,6 +9,7 @@
   leastNeededTokens: 0,
   usualRequestTokens: 1_000,
   largestRequestTokens: 2_000,
+  drawsAhead: true,
   demandTokensPerSecond: 5_000,
   demandPart: 0.5,
   budgetTokens: 100_000,
@@ -55,3 +56,11 @@
   assert.equal(plan({ ...share, heldTokens: 50_000, demandTokensPerSecond: 1_400, demandPart: 0.2 }), 0);
   assert.ok(plan({ ...share, heldTokens: 170_000, demandTokensPerSecond: 1_400, demandPart: 0.2 }) < 0);
 });
+
+test('a share is filled up in few draws: a demand that varies a little does not change the totals', () => {
+  // Guards against a small draw each second by each router, all of which change the same row.
+  const share = { grantedTokens: 100_000, budgetTokens: 400_000, leftTokens: 300_000, demandPart: 0.2 };
+  assert.equal(plan({ ...share, freeTokens: 20_000, demandTokensPerSecond: 1_500 }), 0);
+  assert.equal(plan({ ...share, freeTokens: 12_000, demandTokensPerSecond: 1_500 }), 11_000);
+  assert.ok(plan({ ...share, freeTokens: 20_000, demandTokensPerSecond: 1_500, neededTokens: 900 }) >= 900);
+});
--- a/packages/gateway/src/money/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -6,7 +6,7 @@
 import { TaskLoop } from '../../runtime/taskLoop.ts';
 import type { RouterEntry } from '../../types.ts';
 import { openAccount, reserveTokens, ReserveOutcomeKind, settleTokens } from '../ledgerController.ts';
-import { lendTokens } from '../lending.ts';
+import { lendTokens, takeBackLoan } from '../lending.ts';
 import type { LivenessRecord } from '../liveness.ts';
 import { keepLiveness, readPredecessor } from '../liveness.ts';
 import type { BudgetTotal, LedgerChange, LedgerOutcome, ShareRecord } from '../types.ts';
@@ -113,6 +113,7 @@
       ledgerStore: { commit: (_name, change) => fleet.commit(this, change) },
       peerPort: {
         borrow: (peer, request) => fleet.borrow(this, peer.routerId, request),
+        cancel: (peer, { loanId }) => fleet.cancelLoan(this, peer.routerId, loanId),
       },
       upstreamPort: { open: () => fleet.fail(), forget: () => undefined },
       log: () => undefined,
@@ -173,6 +174,8 @@
   /** Tokens spent, or reserved by requests that may run. */
   spentTokens = 0;
   servedCount = 0;
+  /** Tokens of loans whose answers were lost. */
+  lostLoanTokens = 0;
   /** Changes of the budget's rows that the store has decided. */
   readonly commits = { committed: 0, conflict: 0, rejected: 0 };
   private readonly lives: (Life | undefined)[];
@@ -327,11 +330,11 @@
     borrower: Life,
     lenderId: string,
     request: Parameters<GatewayContext['peerPort']['borrow']>[1],
-  ): Promise<number> {
+  ): Promise<number | undefined> {
     const lender = this.lives.find((life) => life?.context.self.routerId === lenderId);
     const account = lender?.context.board.accounts.get(ORGANISATION);
     return new Promise((resolve) => {
-      const answer = (tokens: number): void => {
+      const answer = (tokens: number | undefined): void => {
         this.timeline.at(1, () => {
           borrower.run(() => {
             resolve(tokens);
@@ -343,18 +346,46 @@
         return;
       }
       const lose = this.random() < 0.1;
+      const recordLost = (tokens: number): void => {
+        this.lostLoanTokens += tokens;
+      };
       lender.run(() => {
         lender.context.loop.spawn(
           'loan',
           (function* () {
             const tokens = yield* lendTokens(lender.context, account, request);
-            answer(lose ? 0 : tokens);
+            recordLost(lose ? tokens : 0);
+            answer(lose ? undefined : tokens);
           })(),
         );
       });
     });
   }
 
+  /** Cancellations are lost as often as loans. */
+  cancelLoan(borrower: Life, lenderId: string, loanId: string): Promise<boolean> {
+    const lender = this.lives.find((life) => life?.context.self.routerId === lenderId);
+    const account = lender?.context.board.accounts.get(ORGANISATION);
+    return new Promise((resolve) => {
+      const answer = (heard: boolean): void => {
+        this.timeline.at(1, () => {
+          borrower.run(() => {
+            resolve(heard);
+          });
+        });
+      };
+      if (lender?.alive !== true || account === undefined) {
+        answer(false);
+        return;
+      }
+      const lose = this.random() < 0.1;
+      lender.run(() => {
+        takeBackLoan(lender.context, account, loanId);
+        answer(!lose);
+      });
+    });
+  }
+
   private call<T>(life: Life, apply: () => T, noAnswer: T, isWrite: boolean): Promise<T> {
     const mode = this.modes[life.routerIndex] ?? StoreMode.Up;
     return new Promise((resolve) => {
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -3,6 +3,7 @@
 import type { GatewayBoard } from '../blackboard.ts';
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
+import { homeRouters } from './homeRouters.ts';
 import { borrowTokens } from './lending.ts';
 import { OrganisationLedger } from './organisationLedger.ts';
 import type { LedgerChange } from './types.ts';
@@ -33,6 +34,10 @@
   /** True while other routers are asked for a loan. */
   borrowing: boolean;
   lastBorrowMs: number;
+  /** Number of the next loan that this router asks for. */
+  nextLoanNumber: number;
+  /** Tokens of the loans that this router gave of late, by loan; 0 for those that were taken back. */
+  readonly givenLoans: Map<string, number>;
 }
 
 /** Returns the account of an organisation and starts its task at the first use. */
@@ -56,6 +61,8 @@
     replies: 0,
     borrowing: false,
     lastBorrowMs: 0,
+    nextLoanNumber: 1,
+    givenLoans: new Map(),
   };
   context.board.accounts.set(organisationName, account);
   context.loop.spawn(`ledger ${organisationName}`, keepAccount(context, account));
@@ -81,13 +88,21 @@
     return ReserveOutcomeKind.Reserved;
   }
   const waiter: Waiter = { tokens, woken: new Channel<true>() };
-  account.lastBorrowMs = Math.max(
-    account.lastBorrowMs,
-    context.loop.nowMs() + context.options.firstBorrowMs - context.options.borrowPauseMs,
-  );
+  const borrowsFirst =
+    mayBorrow &&
+    isAwayFromHome(context, account) &&
+    ledger.isSparse(context.options.sharePlan.horizonMs, context.loop.nowMs());
+  if (!borrowsFirst) {
+    account.lastBorrowMs = Math.max(
+      account.lastBorrowMs,
+      context.loop.nowMs() + context.options.firstBorrowMs - context.options.borrowPauseMs,
+    );
+  }
   account.waiters.add(waiter);
   try {
-    wakeAccount(context, account);
+    if (!borrowsFirst) {
+      wakeAccount(context, account);
+    }
     const repliesBefore = account.replies;
     while (context.loop.nowMs() < waitUntilMs) {
       const borrowMs = mayBorrow ? borrowAtMs(context, account) : Infinity;
@@ -98,6 +113,10 @@
       if (tryReserve(context, account, tokens)) {
         return ReserveOutcomeKind.Reserved;
       }
+      if (borrowsFirst) {
+        // The homes have too little, or cannot be reached.
+        wakeAccount(context, account);
+      }
       const budget = budgetOf(context.board, account.organisationName);
       if (account.replies > repliesBefore && ledger.isExhausted(budget, tokens)) {
         return ReserveOutcomeKind.Exhausted;
@@ -116,16 +135,19 @@
 
 function* borrowForWaiters(context: GatewayContext, account: LedgerAccount): Task<void> {
   account.borrowing = true;
+  let borrowed = false;
   try {
     const smallestTokens = Math.min(...[...account.waiters].map(({ tokens }) => tokens));
     const spendableTokens = account.ledger.spendableFreeTokens(silentMs(context, account));
     const neededTokens = smallestTokens - Math.max(0, spendableTokens);
     if (neededTokens > 0 && (yield* borrowTokens(context, account, neededTokens))) {
+      borrowed = true;
       wakeWaiters(context, account);
     }
   } finally {
     account.borrowing = false;
-    account.lastBorrowMs = context.loop.nowMs();
+    // After a loan, the next waiting request may ask at once.
+    account.lastBorrowMs = context.loop.nowMs() - (borrowed ? context.options.borrowPauseMs : 0);
   }
 }
 
@@ -165,7 +187,8 @@
   }
 }
 
-function wakeWaiters(context: GatewayContext, account: LedgerAccount): void {
+/** Lets waiting requests try again, after tokens may have become free. */
+export function wakeWaiters(context: GatewayContext, account: LedgerAccount): void {
   for (const waiter of [...account.waiters]) {
     if (waiter.woken.size === 0) {
       context.loop.push(waiter.woken, true);
@@ -173,6 +196,12 @@
   }
 }
 
+/**
+ * Accounts that try in one backoff time; with more, each waits longer, so that they do not use up the rate of writes.
+ * All of them are woken when the store is back.
+ */
+const ACCOUNTS_PER_BACKOFF = 10;
+
 /** Draws, returns and settles: at once when a request waits, otherwise once per period. */
 function* keepAccount(context: GatewayContext, account: LedgerAccount): Task<void> {
   const { loop, options } = context;
@@ -191,7 +220,9 @@
     }
     const end = yield* commit(context, account, change);
     failures = end === LedgerOutcomeKind.Committed || end === LedgerOutcomeKind.Conflict ? 0 : failures + 1;
-    const backoffMs = Math.min(options.storeBackoffMs * 2 ** failures, options.storeBackoffMaxMs);
+    const backoffMs =
+      Math.min(options.storeBackoffMs * 2 ** failures, options.storeBackoffMaxMs) *
+      Math.max(1, context.board.accounts.size / ACCOUNTS_PER_BACKOFF);
     nextMs = loop.nowMs() + pauseMs(context, account, end, backoffMs);
   }
 }
@@ -208,6 +239,7 @@
       neededTokens: needs.reduce((sum, tokens) => sum + tokens, 0),
       leastNeededTokens: needs.length === 0 ? 0 : Math.min(...needs),
       routerCount: Math.max(1, board.routers.size),
+      mayBorrow: isAwayFromHome(context, account),
       settlePeriodMs: totalPeriodMs(context),
 
       nowMs: loop.nowMs(),
@@ -216,6 +248,12 @@
   );
 }
 
+/** True if the organisation has homes and this router is none of them. */
+function isAwayFromHome(context: GatewayContext, { organisationName }: LedgerAccount): boolean {
+  const homes = homeRouters(context, organisationName);
+  return homes.length > 0 && !homes.includes(context.self.routerId);
+}
+
 /** Period in which a router reports its spending in the totals: longer the more routers change the same row. */
 function totalPeriodMs({ board, options }: GatewayContext): number {
   return Math.max(options.settlePeriodMs, (board.routers.size * 1_000) / options.settlesPerSecond);
@@ -255,7 +293,8 @@
   let change: LedgerChange | undefined = first;
   for (let tries = 0; change !== undefined && tries < options.ledgerConflictTries; tries += 1) {
     account.ledger.recordSent(change);
-    const outcome = yield* loop.settled(ledgerStore.commit(account.organisationName, change));
+    const urgent = account.waiters.size > 0 || !account.ledger.isWithinLimit;
+    const outcome = yield* loop.settled(ledgerStore.commit(account.organisationName, change, urgent));
     account.ledger.recordOutcome(change, outcome, loop.nowMs());
     logOutcome(context, account, change, outcome.kind);
     switch (outcome.kind) {
--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -10,12 +10,14 @@
 /** Part of the largest request that is kept at each further one. */
 const LARGEST_REQUEST_DECAY = 0.98;
 /**
- * Part of a budget that one router is taken to use each second before its demand is known, so that the first
- * router to draw does not take the shares of the others.
+ * Part of a budget that all routers are taken to use each second before their demand is known, so that the first
+ * router to draw does not take the shares of the others: a day's budget lasts for about a minute at it.
  */
-const PRIOR_DEMAND_PER_SECOND = 0.002;
+const PRIOR_DEMAND_PER_SECOND = 0.016;
 /** Weight of the newest request in the usual size of requests. */
 const USUAL_REQUEST_WEIGHT = 0.1;
+/** Requests in the horizon of a share below which a router borrows for each of them. */
+const SPARSE_REQUESTS = 4;
 /** A limit is raised once less than this part of its headroom is left. */
 const LIMIT_REFRESH_PART = 0.6;
 
@@ -34,6 +36,8 @@
   readonly leastNeededTokens: number;
   /** Routers that draw from the budget. */
   readonly routerCount: number;
+  /** True if the organisation has homes and this router is none of them. */
+  readonly mayBorrow: boolean;
   /** Longest time for which spending stays unreported in the totals. */
   readonly settlePeriodMs: number;
   readonly nowMs: number;
@@ -57,6 +61,8 @@
   private reservedTokens = 0;
   private largestRequestTokens = 0;
   private usualRequestTokens = 0;
+  /** Monotonic times of the newest requests, oldest first. */
+  private lastRequestsMs: readonly number[] = [];
   private readonly ownDemand: DemandRate;
   private readonly fleetDemand: DemandRate;
   private settledSeenTokens: number | undefined;
@@ -95,6 +101,7 @@
   /** Records demand, also for requests that are then refused. */
   recordDemand(tokens: number, nowMs: number): void {
     this.ownDemand.record(tokens, nowMs);
+    this.lastRequestsMs = [...this.lastRequestsMs, nowMs].slice(-SPARSE_REQUESTS);
     this.usualRequestTokens += (tokens - this.usualRequestTokens) * USUAL_REQUEST_WEIGHT;
     this.largestRequestTokens = Math.max(tokens, this.largestRequestTokens * LARGEST_REQUEST_DECAY);
   }
@@ -120,6 +127,12 @@
     return (this.ownDemand.perSecond(nowMs) * periodMs) / 1_000;
   }
 
+  /** True if this router's requests are too few for a share of its own. */
+  isSparse(horizonMs: number, nowMs: number): boolean {
+    const [earliestMs = -Infinity] = this.lastRequestsMs;
+    return this.lastRequestsMs.length < SPARSE_REQUESTS || nowMs - earliestMs > horizonMs;
+  }
+
   /** Takes over tokens that another router counts as spent: they offset this router's own spending. */
   receiveLoan(tokens: number): void {
     this.spentTokens -= tokens;
@@ -143,7 +156,7 @@
     const { total } = this.snapshot;
     const fleetDemand = this.fleetDemand.perSecond(nowMs);
     const ownDemand = this.ownDemand.perSecond(nowMs);
-    const prior = budgetTokens * PRIOR_DEMAND_PER_SECOND;
+    const fleetPrior = budgetTokens * PRIOR_DEMAND_PER_SECOND;
     const delta = planShare(
       {
         freeTokens,
@@ -151,8 +164,9 @@
         leastNeededTokens: Math.max(0, leastNeededTokens - freeTokens),
         usualRequestTokens: this.usualRequestTokens,
         largestRequestTokens: this.largestRequestTokens,
+        drawsAhead: !(input.mayBorrow && this.isSparse(options.horizonMs, nowMs)),
         demandTokensPerSecond: ownDemand,
-        demandPart: (ownDemand + prior) / (Math.max(fleetDemand, ownDemand) + prior * routerCount),
+        demandPart: (ownDemand + fleetPrior / routerCount) / (Math.max(fleetDemand, ownDemand) + fleetPrior),
         budgetTokens,
         grantedTokens: total.grantedTokens - this.recoverableTokens,
         leftTokens: budgetTokens - total.settledTokens - total.strandedTokens,
--- a/packages/gateway/src/money/planShare.ts
+++ b/packages/gateway/src/money/planShare.ts
@@ -3,6 +3,8 @@
   readonly horizonMs: number;
   /** Part of the money left that all routers together may hold, by their parts of the demand. */
   readonly heldFraction: number;
+  /** Part of the target below which a share is filled up: each draw changes the row that all routers change. */
+  readonly refillPart: number;
   /** Free tokens above the target by this factor flow back while the budget is scarce. */
   readonly returnFactor: number;
   /** The same while it is not: the target of a router with a request every few seconds moves by this much. */
@@ -21,6 +23,7 @@
 export const DEFAULT_SHARE_PLAN: SharePlanOptions = {
   horizonMs: 14_000,
   heldFraction: 0.6,
+  refillPart: 0.75,
   returnFactor: 1.3,
   looseReturnFactor: 3,
   scarceHeldPart: 0.6,
@@ -39,6 +42,8 @@
   readonly usualRequestTokens: number;
   /** Largest reservation seen of late; a share holds at least one of them. */
   readonly largestRequestTokens: number;
+  /** False for a router that borrows for each request instead (homeRouters.ts). */
+  readonly drawsAhead: boolean;
   /** This router's demand. */
   readonly demandTokensPerSecond: number;
   /** This router's part of the organisation's demand, 0 to 1. */
@@ -69,9 +74,10 @@
   const cap = input.leftTokens * options.heldFraction * input.demandPart;
   const affordable = Math.floor(Math.min(wanted, Math.max(cap, 0)));
   // Near the end of a budget, fragments at many routers add up to requests at one: they draw for each request.
-  const target = affordable < input.usualRequestTokens ? 0 : affordable;
+  const target = affordable < input.usualRequestTokens || !input.drawsAhead ? 0 : affordable;
   const heldLimit = Math.max(0, input.leftTokens * options.heldFraction);
-  const missing = Math.min(Math.max(target - freeTokens, 0), Math.max(0, heldLimit - input.heldTokens));
+  const lacking = freeTokens < target * options.refillPart || neededTokens > 0 ? target - freeTokens : 0;
+  const missing = Math.min(Math.max(lacking, 0), Math.max(0, heldLimit - input.heldTokens));
   const draw = Math.floor(Math.min(Math.max(missing, Math.ceil(neededTokens)), room));
   if (draw > 0) {
     // A draw that serves no waiting request would only keep the tokens from other routers.
@@ -81,6 +87,10 @@
   const fairTarget = Math.floor(Math.min(target, (freeTokens * heldLimit) / Math.max(input.heldTokens, 1)));
   const excess = freeTokens - fairTarget;
   const scarce = input.heldTokens > heldLimit * options.scarceHeldPart;
+  if (!scarce && freeTokens <= input.largestRequestTokens) {
+    // What is left of a loan serves the next request.
+    return 0;
+  }
   const returnFactor = scarce ? options.returnFactor : options.looseReturnFactor;
   return freeTokens > fairTarget * returnFactor && neededTokens === 0 ? -excess : 0;
 }
--- a/packages/gateway/src/money/types.ts
+++ b/packages/gateway/src/money/types.ts
@@ -56,8 +56,12 @@
 
 /** Where budgets are kept. */
 export interface LedgerStore {
-  /** Makes a change if both rows still have the versions of its base. Does not reject. */
-  commit(organisationName: string, change: LedgerChange): Promise<LedgerOutcome>;
+  /**
+   * Makes a change if both rows still have the versions of its base. Does not reject.
+   *
+   * @param urgent true if requests wait for it; other changes leave a part of the rate of writes to urgent ones.
+   */
+  commit(organisationName: string, change: LedgerChange, urgent: boolean): Promise<LedgerOutcome>;
 }
 
 export const EMPTY_TOTAL: BudgetTotal = { grantedTokens: 0, settledTokens: 0, strandedTokens: 0 };
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -130,7 +130,7 @@
         ready: true,
       },
       ledgerStore: { commit: unused },
-      peerPort: { borrow: unused },
+      peerPort: { borrow: unused, cancel: unused },
       upstreamPort: {
         open: (upstream, request, attempt, report) =>
           this.open(upstream.upstreamId, request, attempt, report),
