Open no account for the cancellation of a loan, and return shares of a stopping router as urgent

Cause: read-through: a cancellation opened an account for any name in it, and with it rows in the store; the return of shares at a stop counted as a change that may wait. Change: both; a comment on the turns of the event loop.

--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -22,7 +22,10 @@
 /** Longest header section that Node parses; the limit in force is checked on each request. */
 const PARSER_HEADER_BYTES = 65_536;
 
-/** Turns of the event loop until a close that waited behind a request is reported: one reads it, the next reports it. */
+/**
+ * Turns of the event loop until a close that waited behind a request has been reported: the first ends the turn that
+ * read the request, the second reads the close, and the report comes before the third.
+ */
 const DISPATCH_TURNS = 3;
 
 /** Accepts callers' requests, reads them whole and hands each to a task of its own. */
--- a/packages/gateway/src/http/peerLoans.ts
+++ b/packages/gateway/src/http/peerLoans.ts
@@ -76,7 +76,10 @@
       if (loan !== undefined) {
         context.loop.spawn('loan', answerLoan(context, loan, response));
       } else if (cancellation !== undefined) {
-        takeBackLoan(context, openAccount(context, cancellation.organisationName), cancellation.loanId);
+        const account = context.board.accounts.get(cancellation.organisationName);
+        if (account !== undefined) {
+          takeBackLoan(context, account, cancellation.loanId);
+        }
         answerJson(response, {});
       } else {
         context.log(LogLevel.Warn, 'request of a peer cannot be read', { url: message.url, sizeBytes });
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -293,7 +293,7 @@
   let change: LedgerChange | undefined = first;
   for (let tries = 0; change !== undefined && tries < options.ledgerConflictTries; tries += 1) {
     account.ledger.recordSent(change);
-    const urgent = account.waiters.size > 0 || !account.ledger.isWithinLimit;
+    const urgent = account.waiters.size > 0 || !account.ledger.isWithinLimit || context.board.returningShares;
     const outcome = yield* loop.settled(ledgerStore.commit(account.organisationName, change, urgent));
     account.ledger.recordOutcome(change, outcome, loop.nowMs());
     logOutcome(context, account, change, outcome.kind);
