--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -239,7 +239,7 @@
       neededTokens: needs.reduce((sum, tokens) => sum + tokens, 0),
       leastNeededTokens: needs.length === 0 ? 0 : Math.min(...needs),
       routerCount: Math.max(1, board.routers.size),
-      mayBorrow: isAwayFromHome(context, account),
+      awayFromHome: isAwayFromHome(context, account),
       settlePeriodMs: totalPeriodMs(context),
 
       nowMs: loop.nowMs(),
--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -37,7 +37,7 @@
   /** Routers that draw from the budget. */
   readonly routerCount: number;
   /** True if the organisation has homes and this router is none of them. */
-  readonly mayBorrow: boolean;
+  readonly awayFromHome: boolean;
   /** Longest time for which spending stays unreported in the totals. */
   readonly settlePeriodMs: number;
   readonly nowMs: number;
@@ -164,7 +164,7 @@
         leastNeededTokens: Math.max(0, leastNeededTokens - freeTokens),
         usualRequestTokens: this.usualRequestTokens,
         largestRequestTokens: this.largestRequestTokens,
-        drawsAhead: !(input.mayBorrow && this.isSparse(options.horizonMs, nowMs)),
+        drawsAhead: !(input.awayFromHome && this.isSparse(options.horizonMs, nowMs)),
         demandTokensPerSecond: ownDemand,
         demandPart: (ownDemand + fleetPrior / routerCount) / (Math.max(fleetDemand, ownDemand) + fleetPrior),
         budgetTokens,
