Draw for a borrowing router only after a round of asking its homes

Cause: read-through of homes: a waiting request of a router that borrows first woke its account on each turn, and the account wakes its waiters after each plan. With nothing left to draw the two went round without waiting, for up to a fifth of the request's target time each. Only fleets of 16 routers or more have homes.

Change: the account is woken after a round of asking that brought too little.

--- a/packages/gateway/src/money/__tests__/manyRouters.test.ts
+++ b/packages/gateway/src/money/__tests__/manyRouters.test.ts
@@ -62,3 +62,15 @@
   const servedPart = await play(8_000);
   assert.ok(servedPart >= 0.9, `${(servedPart * 100).toFixed(1)} in 100 requests are served`);
 });
+
+test('a request for which the homes and the budget have nothing left waits without using the processor', async () => {
+  // Guards against a router that plans the same change again and again until the request's time is over.
+  const fleet = new SimulatedFleet(ROUTERS, REQUEST_TOKENS, seededRandom(4));
+  const noCheck = (): void => undefined;
+  await fleet.timeline.advance(500, noCheck);
+  for (const index of fleet.routerIndexes()) {
+    fleet.request(index, REQUEST_TOKENS, 1, 50);
+    await fleet.timeline.advance(400, noCheck);
+  }
+  assert.equal(fleet.servedCount, 1);
+});
--- a/packages/gateway/src/money/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -11,6 +11,7 @@
 import { keepLiveness, readPredecessor } from '../liveness.ts';
 import type { BudgetTotal, LedgerChange, LedgerOutcome, ShareRecord } from '../types.ts';
 import { EMPTY_TOTAL, LedgerOutcomeKind } from '../types.ts';
+import { Timeline } from './timeline.ts';
 
 export const ORGANISATION = 'school';
 const ANSWER_MS = 5;
@@ -35,43 +36,6 @@
   readonly value: T;
 }
 
-/** Events in the order of their time; no real time passes. */
-class Timeline {
-  nowMs = 0;
-  private readonly events: { atMs: number; order: number; run: () => void }[] = [];
-  private count = 0;
-
-  at(delayMs: number, run: () => void): () => void {
-    const event = { atMs: this.nowMs + delayMs, order: (this.count += 1), run };
-    this.events.push(event);
-    return () => {
-      const index = this.events.indexOf(event);
-      if (index >= 0) {
-        this.events.splice(index, 1);
-      }
-    };
-  }
-
-  async advance(durationMs: number, check: () => void): Promise<void> {
-    const untilMs = this.nowMs + durationMs;
-    for (;;) {
-      const next = this.events
-        .filter(({ atMs }) => atMs <= untilMs)
-        .sort((a, b) => a.atMs - b.atMs || a.order - b.order)[0];
-      if (next === undefined) {
-        break;
-      }
-      this.events.splice(this.events.indexOf(next), 1);
-      this.nowMs = Math.max(this.nowMs, next.atMs);
-      next.run();
-      // Promises of the store resolve in microtasks.
-      await new Promise(setImmediate);
-      check();
-    }
-    this.nowMs = untilMs;
-  }
-}
-
 /** One life of a router. */
 class Life {
   alive = true;
@@ -86,7 +50,10 @@
     const board = createBoard();
     const loop = new TaskLoop(
       {
-        nowMs: () => timeline.nowMs - fleet.pausedMs(routerIndex),
+        nowMs: () => {
+          timeline.recordReading();
+          return timeline.nowMs - fleet.pausedMs(routerIndex);
+        },
         startTimer: (delayMs, callback) =>
           timeline.at(delayMs, () => {
             this.run(callback);
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -107,14 +107,16 @@
     while (context.loop.nowMs() < waitUntilMs) {
       const borrowMs = mayBorrow ? borrowAtMs(context, account) : Infinity;
       const woken = yield* receive(waiter.woken, Math.min(waitUntilMs, borrowMs));
-      if (woken === undefined && mayBorrow && !account.borrowing) {
+      const asksPeers = woken === undefined && mayBorrow && !account.borrowing;
+      if (asksPeers) {
         yield* borrowForWaiters(context, account);
       }
       if (tryReserve(context, account, tokens)) {
         return ReserveOutcomeKind.Reserved;
       }
-      if (borrowsFirst) {
-        // The homes have too little, or cannot be reached.
+      if (asksPeers && borrowsFirst) {
+        // The homes have too little, or cannot be reached. Only a round of asking leads to a draw: the account wakes
+        // its waiters after each plan, and must not be woken by them in turn.
         wakeAccount(context, account);
       }
       const budget = budgetOf(context.board, account.organisationName);
@@ -241,7 +243,6 @@
       routerCount: Math.max(1, board.routers.size),
       awayFromHome: isAwayFromHome(context, account),
       settlePeriodMs: totalPeriodMs(context),
-
       nowMs: loop.nowMs(),
     },
     options.sharePlan,
