Count the demand of a loan at the borrower alone

A lender counted what it was asked for as its own demand, and asked others for half a second of that demand in turn, so that routers with nothing left drove each other's demand up.

Change: a loan records no demand at the lender; in a fleet with homes, a home counts what it has given.

Result: simulated routers that ask each other in vain: 52,685,818,750 tokens a second counted before, at most 1.2 times the callers' 20,000 now (the test failed first).

--- a/packages/gateway/src/money/__tests__/ledgerController.test.ts
+++ b/packages/gateway/src/money/__tests__/ledgerController.test.ts
@@ -55,3 +55,23 @@
   const unspentTokens = budgetTokens - fleet.spentTokens;
   assert.ok(unspentTokens < 800, `${unspentTokens} tokens cannot be spent`);
 });
+
+test('routers that ask each other in vain do not count more demand than their callers have', async () => {
+  // Guards against demand that grows with each round of asking: it sets limits, which a kill of all routers strands.
+  const fleet = new SimulatedFleet(3, 30_000, seededRandom(8));
+  const noCheck = (): void => undefined;
+  await fleet.timeline.advance(500, noCheck);
+  for (let atMs = 0; atMs < 10_000; atMs += 100) {
+    for (const index of fleet.routerIndexes()) {
+      fleet.request(index, 2_000, 1, 50);
+    }
+    await fleet.timeline.advance(100, noCheck);
+  }
+  for (const index of fleet.routerIndexes()) {
+    const demand = fleet.demandTokensPerSecond(index);
+    assert.ok(
+      demand <= 1.2 * 20_000,
+      `router ${index} counts ${Math.round(demand)} tokens a second, not 20000`,
+    );
+  }
+});
--- a/packages/gateway/src/money/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -223,6 +223,15 @@
     return (this.pausedTotalMs[index] ?? 0) - this.pauseLeftMs(index);
   }
 
+  /** The demand that a router counts as its own. */
+  demandTokensPerSecond(index: number): number {
+    const context = this.lives[index]?.context;
+    const account = context?.board.accounts.get(ORGANISATION);
+    return account === undefined || context === undefined
+      ? 0
+      : account.ledger.demandTokens(1_000, context.loop.nowMs());
+  }
+
   /** A request that reserves tokens, and spends a part of them after a time. */
   request(index: number, tokens: number, spentPart: number, durationMs: number): void {
     const life = this.lives[index];
@@ -250,7 +259,7 @@
         (function* () {
           const outcome = yield* reserveTokens(context, account, tokens, {
             waitUntilMs: context.loop.nowMs() + 200,
-            mayBorrow: true,
+            forLoan: false,
           });
           if (outcome === ReserveOutcomeKind.Reserved) {
             reserved();
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -71,8 +71,11 @@
 
 export interface ReserveOptions {
   readonly waitUntilMs: number;
-  /** False for a loan: a lender only draws, so that routers do not ask each other in a circle. */
-  readonly mayBorrow: boolean;
+  /**
+   * True for a loan to another router. A lender only draws, so that routers do not ask each other in a circle, and the
+   * demand is the borrower's: counted by both, it would grow with each round of asking.
+   */
+  readonly forLoan: boolean;
 }
 
 /** Reserves tokens, drawing from the budget and waiting a bounded time if the share is short. */
@@ -80,16 +83,18 @@
   context: GatewayContext,
   account: LedgerAccount,
   tokens: number,
-  { waitUntilMs, mayBorrow }: ReserveOptions,
+  { waitUntilMs, forLoan }: ReserveOptions,
 ): Task<ReserveOutcomeKind> {
   const { ledger } = account;
-  ledger.recordDemand(tokens, context.loop.nowMs());
+  if (!forLoan) {
+    ledger.recordDemand(tokens, context.loop.nowMs());
+  }
   if (tryReserve(context, account, tokens)) {
     return ReserveOutcomeKind.Reserved;
   }
   const waiter: Waiter = { tokens, woken: new Channel<true>() };
   const borrowsFirst =
-    mayBorrow &&
+    !forLoan &&
     isAwayFromHome(context, account) &&
     ledger.isSparse(context.options.sharePlan.horizonMs, context.loop.nowMs());
   if (!borrowsFirst) {
@@ -105,9 +110,9 @@
     }
     const repliesBefore = account.replies;
     while (context.loop.nowMs() < waitUntilMs) {
-      const borrowMs = mayBorrow ? borrowAtMs(context, account) : Infinity;
+      const borrowMs = forLoan ? Infinity : borrowAtMs(context, account);
       const woken = yield* receive(waiter.woken, Math.min(waitUntilMs, borrowMs));
-      const asksPeers = woken === undefined && mayBorrow && !account.borrowing;
+      const asksPeers = woken === undefined && !forLoan && !account.borrowing;
       if (asksPeers) {
         yield* borrowForWaiters(context, account);
       }
--- a/packages/gateway/src/money/lending.ts
+++ b/packages/gateway/src/money/lending.ts
@@ -152,7 +152,7 @@
   }
   const outcome = yield* reserveTokens(context, account, tokens, {
     waitUntilMs: loop.nowMs() + options.loanDrawMs,
-    mayBorrow: false,
+    forLoan: true,
   });
   if (outcome !== ReserveOutcomeKind.Reserved) {
     return 0;
@@ -164,6 +164,10 @@
   }
   settleTokens(context, account, tokens, tokens);
   remember(account.givenLoans, request.loanId, tokens);
+  if (homeRouters(context, account.organisationName).includes(context.self.routerId)) {
+    // A home draws ahead for what it lends. Only given loans count, so that the money itself bounds the demand.
+    ledger.recordDemand(tokens, loop.nowMs());
+  }
   log(LogLevel.Debug, 'loan given', { ...request, lentTokens: tokens });
   return tokens;
 }
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -140,7 +140,7 @@
   const waitUntilMs = Math.min(nowMs + targetMs * context.options.budgetWaitTargetPart, request.deadlineAtMs);
   const outcome = yield* reserveTokens(context, account, reservedTokens, {
     waitUntilMs,
-    mayBorrow: true,
+    forLoan: false,
   });
   switch (outcome) {
     case ReserveOutcomeKind.Reserved:
