--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -36,6 +36,14 @@
   readonly retryReserved?: boolean;
 }
 
+/** The result of an attempt, with the phase that it reached. */
+export interface AttemptOutcome extends AttemptResult {
+  /** Monotonic time at which the request was sent; undefined if it was not. */
+  readonly sentAtMs: number | undefined;
+  /** Monotonic time at which the first event of this attempt arrived; undefined without one. */
+  readonly firstEventAtMs: number | undefined;
+}
+
 /** Status of a response on a streaming route whose body is an event stream. */
 const EVENT_STREAM_STATUS = 200;
 const FIRST_SERVER_ERROR_STATUS = 500;
@@ -65,6 +73,8 @@
   retryNotBeforeMs: number;
   /** True until the first event or the end of the attempt, while `pendingPrefillTokens` of the upstream includes it. */
   prefillPending: boolean;
+  sentAtMs: number | undefined;
+  firstEventAtMs: number | undefined;
 }
 
 /**
@@ -77,7 +87,7 @@
   request: ServedRequest,
   placement: Placement,
   mayRetry: boolean,
-): Task<AttemptResult> {
+): Task<AttemptOutcome> {
   const progress = openAttempt(context, request, placement);
   const view = placement.upstream;
   view.inFlight += 1;
@@ -93,7 +103,8 @@
           ? checkTimeouts(context, request, progress, mayRetry)
           : handleEvent(context, request, progress, event, mayRetry);
       if (result !== undefined) {
-        return result;
+        const { sentAtMs, firstEventAtMs } = progress;
+        return { ...result, sentAtMs, firstEventAtMs };
       }
     }
   } finally {
@@ -143,6 +154,8 @@
     lastProgressAtMs: nowMs,
     retryNotBeforeMs: -Infinity,
     prefillPending: true,
+    sentAtMs: undefined,
+    firstEventAtMs: undefined,
   };
 }
 
@@ -264,6 +277,7 @@
     case RequestEventKind.UpstreamSent:
       progress.record.state = AttemptState.Sent;
       progress.lastProgressAtMs = nowMs;
+      progress.sentAtMs = nowMs;
       request.sentCount += 1;
       return undefined;
     case RequestEventKind.UpstreamHead:
@@ -345,6 +359,7 @@
   }
   const split = progress.splitter.push(data);
   if (split.count > 0) {
+    progress.firstEventAtMs ??= context.loop.nowMs();
     recordProgress(progress, context.loop.nowMs());
     endPrefill(progress);
     progress.placement.upstream.recordSentParts(request.exchange.head.promptParts, context.loop.nowMs());
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -17,7 +17,7 @@
 import { LocalReplyReason, createLocalReply } from './localReplies.ts';
 import type { CallerExchange } from './ports.ts';
 import { retryDelayMs } from './retryDelay.ts';
-import type { AttemptResult } from './runAttempt.ts';
+import type { AttemptOutcome, AttemptResult } from './runAttempt.ts';
 import { AttemptEnd, runAttempt } from './runAttempt.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable, requestVerdict } from './servedRequest.ts';
@@ -322,7 +322,7 @@
   context: GatewayContext,
   request: ServedRequest,
   placement: Placement,
-  result: AttemptResult,
+  result: AttemptOutcome,
 ): void {
   const isRoutine = result.end === AttemptEnd.Answered || result.end === AttemptEnd.CallerDisconnected;
   context.log(isRoutine ? LogLevel.Debug : LogLevel.Info, 'attempt ended', {
@@ -335,5 +335,21 @@
     expectedCostMs: Math.round(placement.costMs),
     uncachedTokens: Math.round(placement.uncachedTokens),
     upstreamInFlight: placement.upstream.inFlight,
+    ...(isRoutine ? {} : attemptPhaseFields(context, request, result)),
   });
 }
+
+/** Log fields that tell which phase an attempt reached and which prompt it held, for comparing attempts that failed together. */
+function attemptPhaseFields(
+  { loop }: GatewayContext,
+  { exchange }: ServedRequest,
+  { sentAtMs, firstEventAtMs }: AttemptOutcome,
+): Readonly<Record<string, unknown>> {
+  const sinceMs = (atMs: number | undefined): number | undefined =>
+    atMs === undefined ? undefined : Math.round(loop.nowMs() - atMs);
+  return {
+    sinceSentMs: sinceMs(sentAtMs),
+    sinceFirstEventMs: sinceMs(firstEventAtMs),
+    promptParts: exchange.head.promptParts.map(({ partId }) => partId),
+  };
+}
