--- /dev/null
+++ b/packages/gateway/src/requests/attemptProgress.ts
@@ -0,0 +1,82 @@
+import type { AttemptRecord } from '@pimentostall/core';
+import type { Placement } from '../placement/chooseUpstream.ts';
+import type { ByteCollector } from './byteCollector.ts';
+import type { EventSplitter } from './eventSplitter.ts';
+import type { UpstreamCall, UpstreamResponseHead } from './ports.ts';
+
+export enum AttemptEnd {
+  /** The complete response was passed on to the caller. */
+  Answered = 'answered',
+  /** No connection could be opened, so the request was not sent. */
+  NotSent = 'not-sent',
+  /** The upstream declares that it did not execute the request. */
+  Refused = 'refused',
+  /** The upstream responded with a server error, which was not passed on since the request can be retried. */
+  ErrorResponse = 'failure-answer',
+  /** The connection failed, was inactive for too long or delivered an invalid response. */
+  Broken = 'broken',
+  CallerDisconnected = 'caller-gone',
+  DeadlineExceeded = 'deadline-passed',
+  /** The router is about to exit. */
+  RouterStopping = 'router-stopping',
+}
+
+export interface AttemptResult {
+  readonly end: AttemptEnd;
+  readonly detail: string;
+  /** True if the retry budget already counts the next attempt. */
+  readonly retryReserved?: boolean;
+}
+
+/** The result of an attempt, with the phase that it reached. */
+export interface AttemptOutcome extends AttemptResult {
+  /** Monotonic time at which the request was sent; undefined if it was not. */
+  readonly sentAtMs: number | undefined;
+  /** Monotonic time at which the first event of this attempt arrived; undefined without one. */
+  readonly firstEventAtMs: number | undefined;
+}
+
+/** Mutable state of an attempt in progress. */
+export interface AttemptProgress {
+  readonly number: number;
+  readonly record: AttemptRecord;
+  readonly placement: Placement;
+  readonly call: UpstreamCall;
+  /** Undefined for a route that does not stream. */
+  readonly splitter: EventSplitter | undefined;
+  head: UpstreamResponseHead | undefined;
+  /** Length of the response body; undefined if the upstream did not announce it. */
+  bodyBytes: number | undefined;
+  /** Buffered part of a plain response, which is passed on to the caller once it is complete. */
+  readonly held: ByteCollector;
+  /** Bytes of a plain response that were received. */
+  plainBytes: number;
+  /** `plainBytes` when the response last made progress. */
+  progressBytes: number;
+  /** Monotonic time at which the request was sent or its response last made progress: a head or a whole event. */
+  lastProgressAtMs: number;
+  /** Monotonic time before which a silent upstream is not given up, since no retry was allowed. */
+  retryNotBeforeMs: number;
+  /** True until the first event or the end of the attempt, while `pendingPrefillTokens` of the upstream includes it. */
+  prefillPending: boolean;
+  sentAtMs: number | undefined;
+  firstEventAtMs: number | undefined;
+}
+
+export function recordProgress(progress: AttemptProgress, nowMs: number): void {
+  progress.lastProgressAtMs = nowMs;
+  progress.progressBytes = progress.plainBytes;
+  progress.placement.upstream.lastProgressAtMs = nowMs;
+}
+
+/** Bytes of an event or of a response without a length that are buffered until it is complete. */
+export function incompleteBytes({ splitter, held }: AttemptProgress): number {
+  return (splitter?.incompleteBytes ?? 0) + held.length;
+}
+
+export function endPrefill(progress: AttemptProgress): void {
+  if (progress.prefillPending) {
+    progress.prefillPending = false;
+    progress.placement.upstream.pendingPrefillTokens -= progress.placement.uncachedTokens;
+  }
+}
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -2,47 +2,16 @@
 import { AttemptState, receive } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
-import { tryReserveRetry } from '../retries/reserveRetry.ts';
 import { RouteKind } from '../types.ts';
+import type { AttemptOutcome, AttemptProgress, AttemptResult } from './attemptProgress.ts';
+import { AttemptEnd, endPrefill, recordProgress } from './attemptProgress.ts';
+import { checkTimeouts, MAX_HELD_RESPONSE_BYTES, nextTimeoutAtMs } from './attemptTimeouts.ts';
 import { ByteCollector } from './byteCollector.ts';
 import { EventSplitter } from './eventSplitter.ts';
-import type { RequestEvent, UpstreamCall, UpstreamResponseHead } from './ports.ts';
+import type { RequestEvent, UpstreamResponseHead } from './ports.ts';
 import { RequestEventKind } from './ports.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
-import { silenceLimitAtMs } from './silenceLimit.ts';
-
-export enum AttemptEnd {
-  /** The complete response was passed on to the caller. */
-  Answered = 'answered',
-  /** No connection could be opened, so the request was not sent. */
-  NotSent = 'not-sent',
-  /** The upstream declares that it did not execute the request. */
-  Refused = 'refused',
-  /** The upstream responded with a server error, which was not passed on since the request can be retried. */
-  ErrorResponse = 'failure-answer',
-  /** The connection failed, was inactive for too long or delivered an invalid response. */
-  Broken = 'broken',
-  CallerDisconnected = 'caller-gone',
-  DeadlineExceeded = 'deadline-passed',
-  /** The router is about to exit. */
-  RouterStopping = 'router-stopping',
-}
-
-export interface AttemptResult {
-  readonly end: AttemptEnd;
-  readonly detail: string;
-  /** True if the retry budget already counts the next attempt. */
-  readonly retryReserved?: boolean;
-}
-
-/** The result of an attempt, with the phase that it reached. */
-export interface AttemptOutcome extends AttemptResult {
-  /** Monotonic time at which the request was sent; undefined if it was not. */
-  readonly sentAtMs: number | undefined;
-  /** Monotonic time at which the first event of this attempt arrived; undefined without one. */
-  readonly firstEventAtMs: number | undefined;
-}
 
 /** Status of a response on a streaming route whose body is an event stream. */
 const EVENT_STREAM_STATUS = 200;
@@ -50,33 +19,6 @@
 /** Maximum length that a response may announce; more cannot be relayed before any usual deadline. */
 const MAX_BODY_BYTES = 67_108_864;
 
-/** Mutable state of an attempt in progress. */
-interface AttemptProgress {
-  readonly number: number;
-  readonly record: AttemptRecord;
-  readonly placement: Placement;
-  readonly call: UpstreamCall;
-  /** Undefined for a route that does not stream. */
-  readonly splitter: EventSplitter | undefined;
-  head: UpstreamResponseHead | undefined;
-  /** Length of the response body; undefined if the upstream did not announce it. */
-  bodyBytes: number | undefined;
-  /** Buffered part of a plain response, which is passed on to the caller once it is complete. */
-  readonly held: ByteCollector;
-  /** Bytes of a plain response that were received. */
-  plainBytes: number;
-  /** `plainBytes` when the response last made progress. */
-  progressBytes: number;
-  /** Monotonic time at which the request was sent or its response last made progress: a head or a whole event. */
-  lastProgressAtMs: number;
-  /** Monotonic time before which a silent upstream is not given up, since no retry was allowed. */
-  retryNotBeforeMs: number;
-  /** True until the first event or the end of the attempt, while `pendingPrefillTokens` of the upstream includes it. */
-  prefillPending: boolean;
-  sentAtMs: number | undefined;
-  firstEventAtMs: number | undefined;
-}
-
 /**
  * Sends the request to one upstream and relays the response.
  *
@@ -170,86 +112,6 @@
   return Math.min(organisation?.priority ?? request.route.priority, LOWEST_ENGINE_PRIORITY);
 }
 
-function endPrefill(progress: AttemptProgress): void {
-  if (progress.prefillPending) {
-    progress.prefillPending = false;
-    progress.placement.upstream.pendingPrefillTokens -= progress.placement.uncachedTokens;
-  }
-}
-
-function nextTimeoutAtMs(
-  context: GatewayContext,
-  request: ServedRequest,
-  progress: AttemptProgress,
-  mayRetry: boolean,
-): number {
-  const deadlineMs = request.deadlineAtMs + context.options.deadlineGraceMs;
-  if (!mayRetry || !isRetryable(request)) {
-    return deadlineMs;
-  }
-  return Math.min(deadlineMs, inactivityTimeoutAtMs(context, request, progress));
-}
-
-/** Monotonic time at which a retryable request is retried elsewhere if its response makes no progress. */
-function inactivityTimeoutAtMs(
-  context: GatewayContext,
-  request: ServedRequest,
-  progress: AttemptProgress,
-): number {
-  const limitAtMs = silenceLimitAtMs(
-    {
-      route: request.route,
-      hasEvents: progress.head !== undefined && request.deliveredEvents > 0,
-      lastProgressAtMs: progress.lastProgressAtMs,
-      upstreamProgressAtMs: progress.placement.upstream.lastProgressAtMs,
-    },
-    context.options,
-  );
-  return Math.max(limitAtMs, progress.retryNotBeforeMs);
-}
-
-function checkTimeouts(
-  context: GatewayContext,
-  request: ServedRequest,
-  progress: AttemptProgress,
-  mayRetry: boolean,
-): AttemptResult | undefined {
-  const nowMs = context.loop.nowMs();
-  if (nowMs >= request.deadlineAtMs + context.options.deadlineGraceMs) {
-    progress.call.cancel();
-    if (incompleteBytes(progress) > MAX_HELD_RESPONSE_BYTES) {
-      // On a narrow link, the deadline ends an endless response before its limit does.
-      progress.placement.upstream.recordFailure(nowMs);
-    }
-    return { end: AttemptEnd.DeadlineExceeded, detail: 'deadline exceeded before the response was complete' };
-  }
-  if (mayRetry && isRetryable(request) && nowMs >= inactivityTimeoutAtMs(context, request, progress)) {
-    if (!tryReserveRetry(context, request)) {
-      // The upstream may only be slow, and nothing is gained by giving it up without another attempt.
-      progress.retryNotBeforeMs = nowMs + context.options.silentUpstreamMs;
-      return undefined;
-    }
-    progress.call.cancel();
-    progress.placement.upstream.recordFailure(nowMs);
-    return { end: AttemptEnd.Broken, detail: 'upstream inactive for too long', retryReserved: true };
-  }
-  return undefined;
-}
-
-/** Bytes of a plain response that count as progress; fewer may come from an upstream that never finishes. */
-const MIN_PROGRESS_BYTES = 512;
-
-function recordProgress(progress: AttemptProgress, nowMs: number): void {
-  progress.lastProgressAtMs = nowMs;
-  progress.progressBytes = progress.plainBytes;
-  progress.placement.upstream.lastProgressAtMs = nowMs;
-}
-
-/** Bytes of an event or of a response without a length that are buffered until it is complete. */
-function incompleteBytes({ splitter, held }: AttemptProgress): number {
-  return (splitter?.incompleteBytes ?? 0) + held.length;
-}
-
 function handleEvent(
   context: GatewayContext,
   request: ServedRequest,
@@ -379,14 +241,15 @@
   return { end: AttemptEnd.Broken, detail };
 }
 
-/** Plain responses up to this size are buffered until complete, so that a broken one can be retried. */
-const MAX_HELD_RESPONSE_BYTES = 65_536;
 /**
  * Maximum size of a plain response without a length. It is buffered as a whole, since only its end shows that it is
  * not endless; the caller of an endless one gets a final reply or the response of another upstream.
  */
 const MAX_UNSIZED_BODY_BYTES = 1_048_576;
 
+/** Bytes of a plain response that count as progress; fewer may come from an upstream that never finishes. */
+const MIN_PROGRESS_BYTES = 512;
+
 function holdData(
   context: GatewayContext,
   request: ServedRequest,
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -14,11 +14,12 @@
 import { chooseUpstream } from '../placement/chooseUpstream.ts';
 import { getOrCreateRetryBudget, tryReserveRetry } from '../retries/reserveRetry.ts';
 import { chooseService } from '../routing/routeTable.ts';
+import type { AttemptOutcome, AttemptResult } from './attemptProgress.ts';
+import { AttemptEnd } from './attemptProgress.ts';
 import { LocalReplyReason, createLocalReply } from './localReplies.ts';
 import type { CallerExchange } from './ports.ts';
 import { retryDelayMs } from './retryDelay.ts';
-import type { AttemptOutcome, AttemptResult } from './runAttempt.ts';
-import { AttemptEnd, runAttempt } from './runAttempt.ts';
+import { runAttempt } from './runAttempt.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable, requestVerdict } from './servedRequest.ts';
 
