--- /dev/null
+++ b/packages/gateway/src/quarantine/__tests__/simulatedFleet.ts
@@ -0,0 +1,226 @@
+import type { RandomSource } from '@pimentostall/core';
+import { Channel } from '@pimentostall/core';
+import { createBlackboard } from '../../blackboard.ts';
+import type { GatewayContext } from '../../context.ts';
+import { Timeline } from '../../money/__tests__/timeline.ts';
+import { GatewayMetrics } from '../../observability/metrics.ts';
+import { createOptions } from '../../options.ts';
+import { UpstreamView } from '../../placement/upstreamView.ts';
+import type { CallerExchange, LocalReply, RequestEvent } from '../../requests/ports.ts';
+import { serveRequest } from '../../requests/serveRequest.ts';
+import { RouteTable } from '../../routing/routeTable.ts';
+import { TaskLoop } from '../../runtime/taskLoop.ts';
+import type { GatewayConfiguration, Route, UpstreamEntry } from '../../types.ts';
+import { RouteKind } from '../../types.ts';
+import { SERVICE, SimulatedEngines } from './simulatedEngines.ts';
+
+const ROUTE: Route = {
+  name: 'draft',
+  hostname: 'desk.example',
+  prefix: '/draft/',
+  kind: RouteKind.Streaming,
+  timeoutMs: 8_000,
+  targetLatencyMs: 600,
+  targetGapMs: 250,
+  priority: 0,
+  maxAttempts: 4,
+  anonymous: true,
+  resumable: true,
+  targets: [{ serviceName: SERVICE, weight: 1 }],
+};
+
+const CONFIGURATION: GatewayConfiguration = {
+  version: 1,
+  routes: [ROUTE],
+  services: new Map([
+    [
+      SERVICE,
+      {
+        name: SERVICE,
+        maxConnections: 400,
+        engine: { slots: 16, kvCapacityTokens: 100_000, tokensPerEvent: 4, maxCacheFollowers: 8 },
+      },
+    ],
+  ]),
+  organisations: new Map(),
+  requiresKeys: false,
+  limits: { maxHeaderBytes: 1_024, maxBodyBytes: 1_024, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+};
+
+/** How a request of the simulation ended for its caller. */
+export interface RequestOutcome {
+  readonly requestId: string;
+  readonly sentAtMs: number;
+  readonly isTainted: boolean;
+  readonly parts: readonly string[];
+  /** Number of complete events. */
+  events: number;
+  complete: boolean;
+  reply: LocalReply | undefined;
+  aborted: boolean;
+}
+
+interface SimulatedRouter {
+  readonly context: GatewayContext;
+  alive: boolean;
+}
+
+/** Routers that serve requests of callers at simulated engines; each failed request comes back once. */
+export class SimulatedFleet {
+  readonly timeline = new Timeline();
+  readonly engines: SimulatedEngines;
+  readonly outcomes: RequestOutcome[] = [];
+  private readonly routers: SimulatedRouter[] = [];
+  private entries: readonly UpstreamEntry[] = [];
+  private requestCount = 0;
+
+  constructor(
+    routerCount: number,
+    engineCount: number,
+    private readonly random: RandomSource,
+  ) {
+    this.engines = new SimulatedEngines(this.timeline, random, (entries) => {
+      this.entries = entries;
+      for (const { context } of this.routers) {
+        this.applyRegister(context);
+      }
+    });
+    this.engines.start(engineCount);
+    for (let index = 0; index < routerCount; index += 1) {
+      this.routers.push({ context: this.createContext(index), alive: true });
+    }
+  }
+
+  /** Sends a request with the given shared parts, and one of its own, to a random router. */
+  send(sharedParts: readonly string[], mayComeBack = true): void {
+    const alive = this.routers.filter((router) => router.alive);
+    const router = alive[Math.floor(this.random() * alive.length)];
+    if (router === undefined) {
+      return;
+    }
+    this.requestCount += 1;
+    const requestId = `request-${this.requestCount}`;
+    const outcome: RequestOutcome = {
+      requestId,
+      sentAtMs: this.timeline.nowMs,
+      isTainted: sharedParts.some((partId) => this.engines.crashingParts.has(partId)),
+      parts: sharedParts,
+      events: 0,
+      complete: false,
+      reply: undefined,
+      aborted: false,
+    };
+    this.outcomes.push(outcome);
+    const comeBack = (delayMs: number): void => {
+      if (mayComeBack) {
+        this.timeline.schedule(delayMs, () => {
+          this.send(sharedParts, false);
+        });
+      }
+    };
+    const exchange: CallerExchange = {
+      head: {
+        requestId,
+        method: 'POST',
+        target: '/draft/1',
+        host: 'desk.example',
+        deadlineMs: 8_000,
+        key: undefined,
+        usage: { promptTokens: 1_000, maxOutputTokens: 80 },
+        promptParts: [...sharedParts, `own-${requestId}`].map((partId) => ({ partId, tokens: 300 })),
+        lastEventId: undefined,
+        forwardHeaders: [],
+      },
+      body: Buffer.alloc(0),
+      arrivedAtMs: this.timeline.nowMs,
+      events: new Channel<RequestEvent>(),
+      isDisconnected: () => false,
+      start: () => undefined,
+      write: (data) => {
+        outcome.events += data.toString().split('\n\n').length - 1;
+        return true;
+      },
+      end: () => {
+        outcome.complete = true;
+      },
+      abort: () => {
+        outcome.aborted = true;
+        comeBack(50);
+      },
+      sendLocalReply: (reply) => {
+        outcome.reply = reply;
+        comeBack(Math.min(reply.retryAfterMs ?? 50, 2_500));
+      },
+    };
+    router.context.loop.spawn('request', serveRequest(router.context, exchange));
+  }
+
+  async advance(durationMs: number): Promise<void> {
+    await this.timeline.advance(durationMs, () => undefined);
+  }
+
+  /** Arrivals of requests with a crashing part at engines, later than a time after the fifth crash. */
+  arrivalsAfterFifthCrash(delayMs: number): number {
+    const fifthAtMs = this.engines.crashTimesMs[4] ?? Infinity;
+    return this.engines.arrivals.filter(({ atMs, isTainted }) => isTainted && atMs > fifthAtMs + delayMs)
+      .length;
+  }
+
+  private applyRegister({ board, options }: GatewayContext): void {
+    const present = new Set(this.entries.map(({ upstreamId }) => upstreamId));
+    for (const upstreamId of board.upstreams.keys()) {
+      if (!present.has(upstreamId)) {
+        board.upstreams.delete(upstreamId);
+      }
+    }
+    for (const entry of this.entries) {
+      if (!board.upstreams.has(entry.upstreamId)) {
+        board.upstreams.set(entry.upstreamId, new UpstreamView(entry, options.placement));
+      }
+    }
+  }
+
+  private createContext(index: number): GatewayContext {
+    const board = createBlackboard();
+    board.configuration = CONFIGURATION;
+    board.routeTable = new RouteTable(CONFIGURATION.routes);
+    const failUnusedPort = (): never => {
+      throw new Error('not used');
+    };
+    const context: GatewayContext = {
+      board,
+      loop: new TaskLoop(
+        {
+          nowMs: () => this.timeline.nowMs,
+          startTimer: (delayMs, run) => this.timeline.schedule(delayMs, run),
+        },
+        (task, cause) => {
+          throw new Error(`task ${task} failed`, { cause });
+        },
+      ),
+      options: createOptions({ retryRatio: 0.2, retrySlack: 58 })._unsafeUnwrap(),
+      self: {
+        routerId: `router-${index}`,
+        incarnationId: `router-${index}-1`,
+        callerAddress: '',
+        peerAddress: '',
+        region: 'r',
+        availabilityZone: 'z',
+        ready: true,
+      },
+      ledgerStore: { commit: failUnusedPort },
+      peerPort: { borrow: failUnusedPort, cancel: failUnusedPort },
+      upstreamPort: {
+        open: (upstream, request, attempt, report) => this.engines.open(upstream, request, attempt, report),
+        removeUpstream: () => undefined,
+      },
+      log: () => undefined,
+      metrics: new GatewayMetrics(),
+      random: this.random,
+      location: { availabilityZone: 'z', region: 'r', regionOf: () => 'r' },
+      maxRouterCount: () => this.routers.length,
+    };
+    this.applyRegister(context);
+    return context;
+  }
+}
