Withhold requests with a prompt part that crashes engines

Cause: nothing related an ended engine to the requests that it had not begun to answer. Each such request went to as many engines as its route allows, at each router anew, and again when its caller came back.

Change: an attempt whose connection closes asks whether its engine still listens. If not, the end counts against the shared parts of the prompts that had no event yet; crashes that a deeper part of the same prompts explains count against that part. An answer that is begun on a part clears it. After three ended engines the part is quarantined: its requests are refused at once with the time of the next probe, those without an event are withdrawn. After two, such requests are not retried. Requests that an engine ended with go to different engines. Routers exchange records by news to four random peers and an exchange with one peer each half second while there are records; two of them store a quarantine, so that it outlasts the end of all.

--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -4,6 +4,9 @@
 import type { LedgerAccount } from './money/ledgerController.ts';
 import type { PreviousIncarnation } from './money/liveness.ts';
 import type { UpstreamView } from './placement/upstreamView.ts';
+import { DEFAULT_QUARANTINE } from './quarantine/options.ts';
+import type { QuarantineState } from './quarantine/quarantineState.ts';
+import { createQuarantineState } from './quarantine/quarantineState.ts';
 import type { RetryBudget } from './retries/retryBudget.ts';
 import type { RouteTable } from './routing/routeTable.ts';
 import type { GatewayConfiguration } from './types.ts';
@@ -23,6 +26,7 @@
   readonly homeRouters: MembershipCache<readonly string[]>;
   readonly accounts: Map<string, LedgerAccount>;
   readonly retryBudgets: Map<string, RetryBudget>;
+  readonly quarantine: QuarantineState;
   /** True once the process has received the stop signal. */
   draining: boolean;
   drainStartedAtMs: number;
@@ -46,7 +50,7 @@
   storeRecoveredAtMs: number | undefined;
 }
 
-export function createBlackboard(): GatewayBlackboard {
+export function createBlackboard(quarantine = DEFAULT_QUARANTINE): GatewayBlackboard {
   const routers = new RouterRegistry();
   return {
     configuration: undefined,
@@ -58,6 +62,7 @@
     homeRouters: new MembershipCache(routers),
     accounts: new Map(),
     retryBudgets: new Map(),
+    quarantine: createQuarantineState(quarantine),
     draining: false,
     drainStartedAtMs: Infinity,
     endingRequests: false,
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -6,6 +6,7 @@
 import type { GatewayMetrics } from './observability/metrics.ts';
 import type { GatewayOptions } from './options.ts';
 import type { RouterLocation } from './placement/chooseUpstream.ts';
+import type { SuspectPort } from './quarantine/types.ts';
 import type { UpstreamPort } from './requests/ports.ts';
 import type { TaskLoop } from './runtime/taskLoop.ts';
 import type { RouterEntry } from './types.ts';
@@ -19,6 +20,7 @@
   readonly self: RouterEntry;
   readonly ledgerStore: LedgerStore;
   readonly peerPort: PeerPort;
+  readonly suspectPort: SuspectPort;
   readonly upstreamPort: UpstreamPort;
   readonly log: Log;
   readonly metrics: GatewayMetrics;
--- /dev/null
+++ b/packages/gateway/src/http/__tests__/hasEnded.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import { test } from 'node:test';
+import type { UpstreamEntry } from '../../types.ts';
+import { UpstreamState } from '../../types.ts';
+import { UpstreamConnections } from '../upstreamConnections.ts';
+import type { WireCodec } from '../wireCodec.ts';
+
+const codec: WireCodec = {
+  decodeRequest: () => assert.fail('not used'),
+  encodeUpstreamRequest: () => assert.fail('not used'),
+  decodeUpstreamHead: () => assert.fail('not used'),
+  encodeLocalReply: () => assert.fail('not used'),
+};
+
+test('an engine whose process has ended is told from one that only closed a connection', async () => {
+  const connections = new UpstreamConnections(codec, {
+    connectTimeoutMs: 500,
+    idleTimeoutMs: 4_000,
+    idleMarginMs: 500,
+    connectionLimit: () => 2,
+  });
+  const server = createServer((socket) => {
+    socket.destroy();
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const entry: UpstreamEntry = {
+    upstreamId: 'engine',
+    serviceName: 'engines',
+    address: `127.0.0.1:${port}`,
+    availabilityZone: 'z',
+    state: UpstreamState.Ready,
+    slots: 1,
+    warmupLeftMs: 0,
+    startTimeMs: undefined,
+  };
+  assert.equal(await connections.hasEnded(entry), false);
+  server.close();
+  await once(server, 'close');
+  assert.equal(await connections.hasEnded(entry), true);
+});
--- a/packages/gateway/src/http/index.ts
+++ b/packages/gateway/src/http/index.ts
@@ -1,6 +1,7 @@
 export { CallerServer } from './callerServer.ts';
 export { PeerDocuments } from './peerDocuments.ts';
 export { PeerConnections } from './peerLoans.ts';
+export { PeerSuspects } from './peerSuspects.ts';
 export { createPeerServer } from './peerServer.ts';
 export type { ProgressTimeoutOptions } from './progressTimeout.ts';
 export { ProgressTimeout } from './progressTimeout.ts';
--- a/packages/gateway/src/http/peerServer.ts
+++ b/packages/gateway/src/http/peerServer.ts
@@ -4,9 +4,10 @@
 import { LogLevel } from '../observability/log.ts';
 import { DocumentRelay } from './peerDocuments.ts';
 import { answerLoanCall } from './peerLoans.ts';
+import { answerSuspectCall } from './peerSuspects.ts';
 
-/** Upper bound of a request body; loan requests are far smaller. */
-const MAX_PEER_REQUEST_BYTES = 4_096;
+/** Upper bound of a request body: the largest list of suspects; loan requests are far smaller. */
+const MAX_PEER_REQUEST_BYTES = 262_144;
 
 /** Creates the HTTP server for calls of peers. */
 export function createPeerServer(context: GatewayContext): Server {
@@ -23,7 +24,11 @@
     message.on('end', () => {
       const url = message.url ?? '/';
       const text = Buffer.concat(chunks).toString('utf8');
-      if (documentRelay.answerPoll(url, response) || answerLoanCall(context, url, text, response)) {
+      if (
+        documentRelay.answerPoll(url, response) ||
+        answerLoanCall(context, url, text, response) ||
+        answerSuspectCall(context, url, text, response)
+      ) {
         return;
       }
       context.log(LogLevel.Warn, 'invalid request from peer rejected', { url: message.url, sizeBytes });
--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -1,9 +1,10 @@
 import type { Socket } from 'node:net';
+import { connect as connectSocket } from 'node:net';
 import { Writable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import { buildConnector, Client, errors, Pool } from 'undici';
 import type { RequestEvent, UpstreamCall, UpstreamPort, UpstreamRequest } from '../requests/ports.ts';
-import { RequestEventKind } from '../requests/ports.ts';
+import { RequestEventKind, UpstreamFailure } from '../requests/ports.ts';
 import type { UpstreamEntry } from '../types.ts';
 import type { WireCodec } from './wireCodec.ts';
 
@@ -35,6 +36,8 @@
 /** Persistent connections to upstreams, with one pool per upstream. */
 export class UpstreamConnections implements UpstreamPort {
   private readonly pools = new Map<string, Pool>();
+  /** Checks in progress by address, shared by the attempts that broke off together. */
+  private readonly endChecks = new Map<string, Promise<boolean>>();
 
   constructor(
     private readonly codec: WireCodec,
@@ -65,6 +68,18 @@
     return call;
   }
 
+  hasEnded({ address }: UpstreamEntry): Promise<boolean> {
+    const existing = this.endChecks.get(address);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const check = isRefused(address, this.options.connectTimeoutMs).finally(() => {
+      this.endChecks.delete(address);
+    });
+    this.endChecks.set(address, check);
+    return check;
+  }
+
   removeUpstream(upstreamId: string): void {
     const pool = this.pools.get(upstreamId);
     this.pools.delete(upstreamId);
@@ -288,7 +303,7 @@
 
   private reportEnd(): void {
     if (this.connectionReset) {
-      this.fail('connection reset before the end of the response');
+      this.fail(UpstreamFailure.ConnectionClosed, 'connection reset before the end of the response');
     } else if (!this.ignoresEvents) {
       this.report({ kind: RequestEventKind.UpstreamEnd, attempt: this.attempt });
     }
@@ -297,12 +312,12 @@
   onResponseError(_controller: Dispatcher.DispatchController | undefined, cause: Error): void {
     this.ended = true;
     clearTimeout(this.discardTimer);
-    this.fail(formatError(cause));
+    this.fail(failureOf(cause), formatError(cause));
   }
 
-  private fail(detail: string): void {
+  private fail(failure: UpstreamFailure, detail: string): void {
     if (!this.ignoresEvents) {
-      this.report({ kind: RequestEventKind.UpstreamFailed, attempt: this.attempt, detail });
+      this.report({ kind: RequestEventKind.UpstreamFailed, attempt: this.attempt, failure, detail });
     }
   }
 
@@ -330,6 +345,40 @@
   return { bodyBytes, isCloseDelimited: bodyBytes === undefined && !isChunked };
 }
 
+/** Resolves to true if a connection to the address is refused; does not reject. */
+function isRefused(address: string, timeoutMs: number): Promise<boolean> {
+  const { hostname, port } = new URL(`http://${address}`);
+  return new Promise((resolve) => {
+    const socket = connectSocket({ host: hostname, port: Number(port), timeout: timeoutMs });
+    const finish = (refused: boolean): void => {
+      socket.destroy();
+      resolve(refused);
+    };
+    socket.on('connect', () => {
+      finish(false);
+    });
+    socket.on('timeout', () => {
+      finish(false);
+    });
+    socket.on('error', (cause: NodeJS.ErrnoException) => {
+      finish(cause.code === 'ECONNREFUSED');
+    });
+  });
+}
+
+function failureOf(cause: Error): UpstreamFailure {
+  switch ((cause as NodeJS.ErrnoException).code) {
+    case 'ECONNREFUSED':
+      return UpstreamFailure.ConnectionRefused;
+    case 'ECONNRESET':
+    case 'EPIPE':
+    case 'UND_ERR_SOCKET':
+      return UpstreamFailure.ConnectionClosed;
+    default:
+      return UpstreamFailure.Other;
+  }
+}
+
 function formatError(cause: Error): string {
   const { code } = cause as NodeJS.ErrnoException;
   return code === undefined ? cause.message : `${code}: ${cause.message}`;
--- a/packages/gateway/src/money/__tests__/simulatedRouter.ts
+++ b/packages/gateway/src/money/__tests__/simulatedRouter.ts
@@ -59,7 +59,12 @@
         borrow: (peer, request) => fleet.borrow(this, peer.routerId, request),
         cancel: (peer, { loanId }) => fleet.cancelLoan(this, peer.routerId, loanId),
       },
-      upstreamPort: { open: () => fleet.rejectUpstreamCall(), removeUpstream: () => undefined },
+      suspectPort: { exchange: () => fleet.rejectUpstreamCall() },
+      upstreamPort: {
+        open: () => fleet.rejectUpstreamCall(),
+        hasEnded: () => fleet.rejectUpstreamCall(),
+        removeUpstream: () => undefined,
+      },
       log: () => undefined,
       metrics: new GatewayMetrics(),
       random: fleet.random,
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -5,6 +5,8 @@
 import type { ReleaseOptions } from './money/release.ts';
 import type { PlacementOptions } from './placement/options.ts';
 import { DEFAULT_PLACEMENT } from './placement/options.ts';
+import type { QuarantineOptions } from './quarantine/options.ts';
+import { DEFAULT_QUARANTINE } from './quarantine/options.ts';
 
 /** Timeouts, periods and limits of the gateway. The operator's settings override the defaults at startup. */
 export interface GatewayOptions {
@@ -42,6 +44,7 @@
   /** Maximum wait for tokens that may not come, as a fraction of the target latency (see money/tokenWait.ts). */
   readonly budgetWaitTargetPart: number;
   readonly placement: PlacementOptions;
+  readonly quarantine: QuarantineOptions;
   readonly retryRatio: number;
   readonly retryWindowMs: number;
   readonly retrySlack: number;
@@ -84,6 +87,7 @@
   borrowPauseMs: 150,
   budgetWaitTargetPart: 0.2,
   placement: DEFAULT_PLACEMENT,
+  quarantine: DEFAULT_QUARANTINE,
   retryRatio: 0.1,
   retryWindowMs: 10_000,
   retrySlack: 20,
--- a/packages/gateway/src/placement/__tests__/chooseUpstream.test.ts
+++ b/packages/gateway/src/placement/__tests__/chooseUpstream.test.ts
@@ -16,6 +16,7 @@
   ],
   promptTokens: 16_000,
   excluded: new Set(),
+  spreadKey: undefined,
 };
 
 function engines(count: number, change: Partial<UpstreamEntry> = {}): UpstreamView[] {
@@ -80,3 +81,13 @@
   assert.equal(choose([failing], 1), undefined);
   assert.equal(choose([failing], DEFAULT_PLACEMENT.ejectionMs + 1), 'engine-0');
 });
+
+test('requests that an engine ended with go to different engines, not to the same home engine', () => {
+  const upstreams = engines(12);
+  const chosen = ['r1', 'r2', 'r3', 'r4', 'r5', 'r6'].map(
+    (spreadKey) =>
+      chooseUpstream({ ...request, spreadKey }, upstreams, location, 0, DEFAULT_PLACEMENT)?.upstream.entry
+        .upstreamId,
+  );
+  assert.ok(new Set(chosen).size >= 3, String(chosen));
+});
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -10,6 +10,11 @@
   readonly promptTokens: number;
   /** Ids of the upstreams that this request has already been sent to. */
   readonly excluded: ReadonlySet<string>;
+  /**
+   * Set for a request whose engine has ended before it answered. Requests that engines ended with go to different
+   * engines, so that those which are not the cause do not meet the one that is again.
+   */
+  readonly spreadKey: string | undefined;
 }
 
 export interface RouterLocation {
@@ -46,14 +51,34 @@
     (upstream) => upstream.isUsable(nowMs) && !request.excluded.has(upstream.entry.upstreamId),
   );
   const homes = chooseHomeEngines(request.promptParts, serviceUpstreams, options.homesPerPart);
-  let best: Placement | undefined;
-  for (const upstream of candidates) {
-    const placement = estimatePlacement(request, upstream, homes, location, nowMs, options);
-    if (best === undefined || placement.costMs < best.costMs) {
-      best = placement;
+  const placements = candidates.map((upstream) =>
+    estimatePlacement(request, upstream, homes, location, nowMs, options),
+  );
+  return request.spreadKey === undefined
+    ? minBy(placements, ({ costMs }) => costMs)
+    : spreadPlacement(placements, request.spreadKey);
+}
+
+/** Returns one of the less costly half, in rendezvous order of the key. */
+function spreadPlacement(placements: readonly Placement[], key: string): Placement | undefined {
+  const cheaper = [...placements]
+    .sort((a, b) => a.costMs - b.costMs)
+    .slice(0, Math.ceil(placements.length / 2));
+  return minBy(cheaper, ({ upstream }) => hash32(`${key}|${upstream.entry.upstreamId}`));
+}
+
+function minBy(
+  placements: readonly Placement[],
+  valueOf: (placement: Placement) => number,
+): Placement | undefined {
+  let best: { placement: Placement; value: number } | undefined;
+  for (const placement of placements) {
+    const value = valueOf(placement);
+    if (best === undefined || value < best.value) {
+      best = { placement, value };
     }
   }
-  return best;
+  return best?.placement;
 }
 
 /** Returns the ids of the home engines of the longest shared prefix, in rendezvous order. */
--- a/packages/gateway/src/quarantine/__tests__/simulatedEngines.ts
+++ b/packages/gateway/src/quarantine/__tests__/simulatedEngines.ts
@@ -1,6 +1,6 @@
 import type { RandomSource } from '@pimentostall/core';
 import type { RequestEvent, UpstreamCall, UpstreamRequest } from '../../requests/ports.ts';
-import { RequestEventKind } from '../../requests/ports.ts';
+import { RequestEventKind, UpstreamFailure } from '../../requests/ports.ts';
 import type { UpstreamEntry } from '../../types.ts';
 import { UpstreamState } from '../../types.ts';
 import type { Timeline } from '../../money/__tests__/timeline.ts';
@@ -132,7 +132,12 @@
     const engine = this.engines.get(upstreamId);
     const { request, attempt, report } = call;
     if (engine?.alive !== true) {
-      report({ kind: RequestEventKind.UpstreamFailed, attempt, detail: 'ECONNREFUSED' });
+      report({
+        kind: RequestEventKind.UpstreamFailed,
+        attempt,
+        failure: UpstreamFailure.ConnectionRefused,
+        detail: 'refused',
+      });
       return;
     }
     const isTainted = this.isTainted(request);
@@ -196,7 +201,12 @@
         if (!call.ended) {
           call.ended = true;
           const { attempt, report } = call;
-          report({ kind: RequestEventKind.UpstreamFailed, attempt, detail: 'other side closed' });
+          report({
+            kind: RequestEventKind.UpstreamFailed,
+            attempt,
+            failure: UpstreamFailure.ConnectionClosed,
+            detail: 'closed',
+          });
         }
       });
     }
--- a/packages/gateway/src/quarantine/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/quarantine/__tests__/simulatedFleet.ts
@@ -7,6 +7,10 @@
 import { createOptions } from '../../options.ts';
 import { UpstreamView } from '../../placement/upstreamView.ts';
 import type { CallerExchange, LocalReply, RequestEvent } from '../../requests/ports.ts';
+import { ageReport } from '../ageReport.ts';
+import { exchangeSuspects, receiveSuspects, requestSuspectResync } from '../exchangeSuspects.ts';
+import { readQuarantine, storeQuarantine } from '../storeQuarantine.ts';
+import type { QuarantineStore, SuspectReport } from '../types.ts';
 import { serveRequest } from '../../requests/serveRequest.ts';
 import { RouteTable } from '../../routing/routeTable.ts';
 import { TaskLoop } from '../../runtime/taskLoop.ts';
@@ -61,10 +65,15 @@
 }
 
 interface SimulatedRouter {
-  readonly context: GatewayContext;
+  context: GatewayContext;
   alive: boolean;
+  /** True while the other routers and the store cannot be reached. */
+  cut: boolean;
 }
 
+/** Time of a call between two routers, or to the store, in one direction. */
+const CALL_MS = 5;
+
 /** Routers that serve requests of callers at simulated engines; each failed request comes back once. */
 export class SimulatedFleet {
   readonly timeline = new Timeline();
@@ -73,9 +82,13 @@
   private readonly routers: SimulatedRouter[] = [];
   private entries: readonly UpstreamEntry[] = [];
   private requestCount = 0;
+  /** Rows of the quarantine in the store, with the time at which they were written. */
+  private readonly rows = new Map<string, { report: SuspectReport; writtenAtMs: number }>();
+  /** Number of messages between routers. */
+  exchangeCount = 0;
 
   constructor(
-    routerCount: number,
+    private readonly routerCount: number,
     engineCount: number,
     private readonly random: RandomSource,
   ) {
@@ -87,14 +100,22 @@
     });
     this.engines.start(engineCount);
     for (let index = 0; index < routerCount; index += 1) {
-      this.routers.push({ context: this.createContext(index), alive: true });
+      this.routers.push({ context: this.createContext(index), alive: true, cut: false });
+    }
+    for (const index of this.routers.keys()) {
+      this.startRouter(index);
     }
   }
 
-  /** Sends a request with the given shared parts, and one of its own, to a random router. */
-  send(sharedParts: readonly string[], mayComeBack = true): void {
+  /**
+   * Sends a request with the given shared parts, and one of its own.
+   *
+   * @param routerIndex undefined for a random router
+   */
+  send(sharedParts: readonly string[], mayComeBack = true, routerIndex?: number): void {
     const alive = this.routers.filter((router) => router.alive);
-    const router = alive[Math.floor(this.random() * alive.length)];
+    const router =
+      routerIndex === undefined ? alive[Math.floor(this.random() * alive.length)] : this.routers[routerIndex];
     if (router === undefined) {
       return;
     }
@@ -155,6 +176,39 @@
     router.context.loop.spawn('request', serveRequest(router.context, exchange));
   }
 
+  /** Ends a router; its requests get no answer. */
+  kill(index: number): void {
+    const router = this.routers[index];
+    if (router !== undefined) {
+      router.alive = false;
+      router.context.board.stopped = true;
+    }
+  }
+
+  /** Starts a new incarnation of a router, which knows nothing. */
+  restart(index: number): void {
+    const router = this.routers[index];
+    if (router !== undefined) {
+      router.context = this.createContext(index);
+      router.alive = true;
+      this.startRouter(index);
+    }
+  }
+
+  cut(index: number, isCut: boolean): void {
+    const router = this.routers[index];
+    if (router !== undefined) {
+      router.cut = isCut;
+      if (!isCut) {
+        requestSuspectResync(router.context);
+      }
+    }
+  }
+
+  isQuarantined(partId: string): boolean[] {
+    return this.routers.map(({ context }) => context.board.quarantine.table.isQuarantined(partId));
+  }
+
   async advance(durationMs: number): Promise<void> {
     await this.timeline.advance(durationMs, () => undefined);
   }
@@ -166,6 +220,48 @@
       .length;
   }
 
+  private startRouter(index: number): void {
+    const router = this.routers[index];
+    if (router === undefined) {
+      return;
+    }
+    const { context } = router;
+    const store: QuarantineStore = {
+      read: () =>
+        this.call(router, () =>
+          [...this.rows.values()].map(({ report, writtenAtMs }) =>
+            ageReport(report, this.timeline.nowMs - writtenAtMs),
+          ),
+        ),
+      write: async (report) =>
+        (await this.call(router, () =>
+          this.rows.set(report.partId, { report, writtenAtMs: this.timeline.nowMs }),
+        )) !== undefined,
+      remove: async (partId) =>
+        (await this.call(router, () => {
+          this.rows.delete(partId);
+          return true;
+        })) !== undefined,
+    };
+    context.loop.spawn('exchange', exchangeSuspects(context));
+    requestSuspectResync(context);
+    context.loop.spawn('start', readQuarantine(context, store));
+    context.loop.spawn('store', storeQuarantine(context, store));
+  }
+
+  /** Resolves to undefined if a side is not there, or is cut off from the others. */
+  private call<T>(from: SimulatedRouter, apply: () => T, to?: SimulatedRouter): Promise<T | undefined> {
+    return new Promise((resolve) => {
+      this.timeline.schedule(CALL_MS, () => {
+        const isReached = from.alive && !from.cut && (to === undefined || (to.alive && !to.cut));
+        const result = isReached ? apply() : undefined;
+        this.timeline.schedule(CALL_MS, () => {
+          resolve(result);
+        });
+      });
+    });
+  }
+
   private applyRegister({ board, options }: GatewayContext): void {
     const present = new Set(this.entries.map(({ upstreamId }) => upstreamId));
     for (const upstreamId of board.upstreams.keys()) {
@@ -209,9 +305,20 @@
         ready: true,
       },
       ledgerStore: { commit: failUnusedPort },
+      suspectPort: {
+        exchange: (peer, message) => {
+          this.exchangeCount += 1;
+          const from = this.routers[index];
+          const to = this.routers[Number(peer.routerId.split('-')[1])];
+          return from === undefined || to === undefined
+            ? Promise.resolve(undefined)
+            : this.call(from, () => receiveSuspects(to.context, message, context.self.routerId), to);
+        },
+      },
       peerPort: { borrow: failUnusedPort, cancel: failUnusedPort },
       upstreamPort: {
         open: (upstream, request, attempt, report) => this.engines.open(upstream, request, attempt, report),
+        hasEnded: (upstream) => Promise.resolve(!this.engines.isListening(upstream.upstreamId)),
         removeUpstream: () => undefined,
       },
       log: () => undefined,
@@ -221,6 +328,11 @@
       maxRouterCount: () => this.routers.length,
     };
     this.applyRegister(context);
+    board.storeLastReplyAtMs = 0;
+    for (let other = 0; other < this.routerCount; other += 1) {
+      const entry = { ...context.self, routerId: `router-${other}` };
+      board.routers.set(entry.routerId, { entry, changedAtMs: 0 });
+    }
     return context;
   }
 }
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -16,7 +16,7 @@
   UpstreamResponseHead,
   UpstreamRequest,
 } from '../ports.ts';
-import { RequestEventKind } from '../ports.ts';
+import { RequestEventKind, UpstreamFailure } from '../ports.ts';
 import { serveRequest } from '../serveRequest.ts';
 
 export const ROUTE: Route = {
@@ -85,6 +85,8 @@
 /** Test harness for the request path, with fake upstreams, fake callers and a manual clock. */
 export class RequestRig {
   readonly calls: FakeUpstreamCall[] = [];
+  /** Ids of the upstreams at whose address nothing listens. */
+  readonly ended = new Set<string>();
   /** Messages of the log. */
   readonly logged: string[] = [];
   readonly context: GatewayContext;
@@ -150,9 +152,11 @@
       },
       ledgerStore: { commit: failUnusedPort },
       peerPort: { borrow: failUnusedPort, cancel: failUnusedPort },
+      suspectPort: { exchange: failUnusedPort },
       upstreamPort: {
         open: (upstream, request, attempt, report) =>
           this.open(upstream.upstreamId, request, attempt, report),
+        hasEnded: (upstream) => Promise.resolve(this.ended.has(upstream.upstreamId)),
         removeUpstream: () => undefined,
       },
       log: (_level, message) => this.logged.push(message),
@@ -259,7 +263,12 @@
         report({ kind: RequestEventKind.UpstreamEnd, attempt });
       },
       fail: () => {
-        report({ kind: RequestEventKind.UpstreamFailed, attempt, detail: 'reset' });
+        report({
+          kind: RequestEventKind.UpstreamFailed,
+          attempt,
+          failure: UpstreamFailure.ConnectionClosed,
+          detail: 'reset',
+        });
       },
     };
     this.calls.push(call);
--- a/packages/gateway/src/requests/attemptProgress.ts
+++ b/packages/gateway/src/requests/attemptProgress.ts
@@ -2,7 +2,7 @@
 import type { Placement } from '../placement/chooseUpstream.ts';
 import type { ByteCollector } from './byteCollector.ts';
 import type { EventSplitter } from './eventSplitter.ts';
-import type { UpstreamCall, UpstreamResponseHead } from './ports.ts';
+import type { UpstreamCall, UpstreamFailure, UpstreamResponseHead } from './ports.ts';
 
 export enum AttemptEnd {
   /** The complete response was passed on to the caller. */
@@ -15,6 +15,8 @@
   ErrorResponse = 'failure-answer',
   /** The connection failed, was inactive for too long or delivered an invalid response. */
   Broken = 'broken',
+  /** A part of the prompt was quarantined before the answer began. */
+  Withdrawn = 'withdrawn',
   CallerDisconnected = 'caller-gone',
   DeadlineExceeded = 'deadline-passed',
   /** The router is about to exit. */
@@ -26,6 +28,8 @@
   readonly detail: string;
   /** True if the retry budget already counts the next attempt. */
   readonly retryReserved?: boolean;
+  /** How the call failed; only for an attempt that failed. */
+  readonly failure?: UpstreamFailure;
 }
 
 /** The result of an attempt, with the phase that it reached. */
@@ -61,6 +65,8 @@
   prefillPending: boolean;
   sentAtMs: number | undefined;
   firstEventAtMs: number | undefined;
+  /** True once the start of the answer has cleared the parts of the prompt. */
+  startRecorded: boolean;
 }
 
 export function recordProgress(progress: AttemptProgress, nowMs: number): void {
--- a/packages/gateway/src/requests/localReplies.ts
+++ b/packages/gateway/src/requests/localReplies.ts
@@ -13,6 +13,7 @@
   NoUpstream = 'no-upstream',
   UpstreamRefused = 'upstream-refused',
   UpstreamFailed = 'upstream-failed',
+  PartQuarantined = 'part-quarantined',
   DeadlineExceeded = 'deadline-exceeded',
 }
 
@@ -54,6 +55,11 @@
     status: 503,
     detail: 'The upstream could not be reached. Send the request again.',
   },
+  [LocalReplyReason.PartQuarantined]: {
+    status: 503,
+    detail:
+      'Engines crash on a part of the prompt. Change the prompt, or send the request after the given time.',
+  },
   [LocalReplyReason.DeadlineExceeded]: {
     status: 503,
     detail: 'The deadline passed before the request was sent to an upstream.',
--- a/packages/gateway/src/requests/ports.ts
+++ b/packages/gateway/src/requests/ports.ts
@@ -48,6 +48,15 @@
   readonly forwardHeaders: readonly string[];
 }
 
+/** How a call to an upstream failed. */
+export enum UpstreamFailure {
+  /** The upstream does not accept connections; nothing listens at its address. */
+  ConnectionRefused = 'connection-refused',
+  /** The connection was closed or reset before the response was complete. */
+  ConnectionClosed = 'connection-closed',
+  Other = 'other',
+}
+
 export enum RequestEventKind {
   /** The request is about to be written to a connection. */
   UpstreamSent = 'upstream-sent',
@@ -55,6 +64,8 @@
   UpstreamData = 'upstream-data',
   UpstreamEnd = 'upstream-end',
   UpstreamFailed = 'upstream-failed',
+  /** A part of the prompt crashes engines; an attempt whose answer has not begun must end. */
+  PartQuarantined = 'part-quarantined',
   CallerDisconnected = 'caller-gone',
   /** The router is about to exit; started responses end only once the board says so. */
   RouterStopping = 'router-stopping',
@@ -72,7 +83,13 @@
     }
   | { readonly kind: RequestEventKind.UpstreamData; readonly attempt: number; readonly data: Buffer }
   | { readonly kind: RequestEventKind.UpstreamEnd; readonly attempt: number }
-  | { readonly kind: RequestEventKind.UpstreamFailed; readonly attempt: number; readonly detail: string }
+  | {
+      readonly kind: RequestEventKind.UpstreamFailed;
+      readonly attempt: number;
+      readonly failure: UpstreamFailure;
+      readonly detail: string;
+    }
+  | { readonly kind: RequestEventKind.PartQuarantined }
   | { readonly kind: RequestEventKind.CallerDisconnected }
   | { readonly kind: RequestEventKind.RouterStopping };
 
@@ -93,6 +110,11 @@
     attempt: number,
     report: (event: RequestEvent) => void,
   ): UpstreamCall;
+  /**
+   * Tells whether an upstream has ended, after one of its connections was closed: nothing listens at its address. An
+   * upstream that does not respond in time counts as running, since a partition looks the same.
+   */
+  hasEnded(upstream: UpstreamEntry): Promise<boolean>;
   /** Closes the connections to an upstream that was removed, after its open requests have ended. */
   removeUpstream(upstreamId: string): void;
 }
--- a/packages/gateway/src/requests/retryDelay.ts
+++ b/packages/gateway/src/requests/retryDelay.ts
@@ -28,6 +28,7 @@
     case LocalReplyReason.NoUpstream:
     case LocalReplyReason.UpstreamRefused:
     case LocalReplyReason.UpstreamFailed:
+    case LocalReplyReason.PartQuarantined:
     case LocalReplyReason.DeadlineExceeded:
       return retryAfterMs * (1 + SPREAD_FRACTION * (2 * random() - 1));
   }
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -6,9 +6,10 @@
 import type { AttemptOutcome, AttemptProgress, AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd, endPrefill, recordProgress } from './attemptProgress.ts';
 import { checkTimeouts, MAX_HELD_RESPONSE_BYTES, nextTimeoutAtMs } from './attemptTimeouts.ts';
+import { recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
 import { ByteCollector } from './byteCollector.ts';
 import { EventSplitter } from './eventSplitter.ts';
-import type { RequestEvent, UpstreamResponseHead } from './ports.ts';
+import type { RequestEvent, UpstreamFailure, UpstreamResponseHead } from './ports.ts';
 import { RequestEventKind } from './ports.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
@@ -32,6 +33,7 @@
 ): Task<AttemptOutcome> {
   const progress = openAttempt(context, request, placement);
   const view = placement.upstream;
+  const unanswered = registerUnanswered(context, request);
   view.inFlight += 1;
   view.pendingPrefillTokens += placement.uncachedTokens;
   try {
@@ -44,12 +46,16 @@
         event === undefined
           ? checkTimeouts(context, request, progress, mayRetry)
           : handleEvent(context, request, progress, event, mayRetry);
+      if (progress.firstEventAtMs !== undefined) {
+        unanswered.remove();
+      }
       if (result !== undefined) {
         const { sentAtMs, firstEventAtMs } = progress;
         return { ...result, sentAtMs, firstEventAtMs };
       }
     }
   } finally {
+    unanswered.remove();
     view.inFlight -= 1;
     endPrefill(progress);
   }
@@ -98,6 +104,7 @@
     prefillPending: true,
     sentAtMs: undefined,
     firstEventAtMs: undefined,
+    startRecorded: false,
   };
 }
 
@@ -131,6 +138,13 @@
     progress.call.cancel();
     return { end: AttemptEnd.RouterStopping, detail: 'router exits before the response is complete' };
   }
+  if (event.kind === RequestEventKind.PartQuarantined) {
+    if (progress.firstEventAtMs !== undefined) {
+      return undefined;
+    }
+    progress.call.cancel();
+    return { end: AttemptEnd.Withdrawn, detail: 'part of the prompt quarantined before the answer began' };
+  }
   if (event.attempt !== progress.number) {
     return undefined;
   }
@@ -152,7 +166,7 @@
     case RequestEventKind.UpstreamEnd:
       return handleResponseEnd(context, request, progress);
     case RequestEventKind.UpstreamFailed:
-      return handleFailure(context, request, progress, event.detail);
+      return handleFailure(context, progress, event.failure, event.detail);
   }
 }
 
@@ -228,6 +242,7 @@
     request.deliveredEvents += split.count;
     request.lastEventId = split.lastEventId ?? request.lastEventId;
     writeToCaller(context, request, progress, split.data);
+    recordAnswerStart(context, request, progress, context.options.quarantine.startConfirmMs);
   }
   return progress.splitter.incompleteBytes > MAX_EVENT_BYTES
     ? rejectResponse(context, progress, `upstream sent an event of more than ${MAX_EVENT_BYTES} bytes`)
@@ -321,16 +336,17 @@
     progress.placement.upstream.recordSuccess();
   }
   request.exchange.end();
+  recordAnswerStart(context, request, progress, 0);
   return { end: AttemptEnd.Answered, detail: `status ${progress.head?.status ?? 0}` };
 }
 
 function handleFailure(
   context: GatewayContext,
-  request: ServedRequest,
   progress: AttemptProgress,
+  failure: UpstreamFailure,
   detail: string,
 ): AttemptResult {
   progress.placement.upstream.recordFailure(context.loop.nowMs());
   const sent = progress.record.state !== AttemptState.NotSent;
-  return { end: sent ? AttemptEnd.Broken : AttemptEnd.NotSent, detail };
+  return { end: sent ? AttemptEnd.Broken : AttemptEnd.NotSent, failure, detail };
 }
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -22,6 +22,8 @@
 import { runAttempt } from './runAttempt.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable, requestVerdict } from './servedRequest.ts';
+import type { WithheldRequest } from './suspectRequests.ts';
+import { checkQuarantine, endProbe, mayRiskEngine, recordEndedEngine } from './suspectRequests.ts';
 
 /** Maximum number of failed connection attempts per request; they do not count as sent. */
 const MAX_UNSENT_ATTEMPTS = 3;
@@ -99,6 +101,8 @@
       deliveredEvents: 0,
       lastEventId: head.lastEventId,
       firstDataMs: undefined,
+      endedEngine: false,
+      probe: undefined,
     },
   };
 }
@@ -106,21 +110,22 @@
 function* serveAdmitted(context: GatewayContext, request: ServedRequest): Task<void> {
   getOrCreateRetryBudget(context, request.service.name).recordRequest(context.loop.nowMs());
   try {
+    const withheld = checkQuarantine(context, request);
+    if (withheld !== undefined) {
+      finishWithheld(context, request, withheld);
+      return;
+    }
     const rejectionReason = yield* reserve(context, request);
     if (rejectionReason !== undefined) {
-      finish(
-        context,
-        request.exchange,
-        request,
-        rejectionReason,
-        'no tokens could be reserved',
-        budgetLogFields(context, request),
-      );
+      finish(context, request.exchange, request, rejectionReason, 'no tokens could be reserved', {
+        fields: budgetLogFields(context, request),
+      });
       return;
     }
     yield* runAttempts(context, request);
   } finally {
     settle(context, request);
+    endProbe(context, request);
   }
 }
 
@@ -206,6 +211,11 @@
       finish(context, request.exchange, request, LocalReplyReason.Draining, 'router exits before an attempt');
       return;
     }
+    const withheld = checkQuarantine(context, request);
+    if (withheld !== undefined) {
+      finishWithheld(context, request, withheld);
+      return;
+    }
     const placement = choosePlacement(context, request);
     if (placement === undefined) {
       const reason =
@@ -216,6 +226,7 @@
     const mayRetry = request.sentCount + 1 < request.route.maxAttempts;
     const result = yield* runAttempt(context, request, placement, mayRetry);
     logAttempt(context, request, placement, result);
+    yield* recordEndedEngine(context, request, placement, result);
     const step = nextStep(context, request, result);
     if (step !== 'retry') {
       finish(context, request.exchange, request, step, result.detail);
@@ -232,6 +243,7 @@
       promptParts: head.promptParts,
       promptTokens: head.usage?.promptTokens ?? 0,
       excluded: request.triedUpstreams,
+      spreadKey: request.endedEngine ? request.requestId : undefined,
     },
     context.board.upstreams.values(),
     context.location,
@@ -254,6 +266,8 @@
       return LocalReplyReason.DeadlineExceeded;
     case AttemptEnd.RouterStopping:
       return LocalReplyReason.Draining;
+    case AttemptEnd.Withdrawn:
+      return LocalReplyReason.PartQuarantined;
     case AttemptEnd.NotSent:
       return request.attempts.filter(({ state }) => state === AttemptState.NotSent).length <
         MAX_UNSENT_ATTEMPTS
@@ -264,12 +278,36 @@
       return tryReserveRetry(context, request) ? 'retry' : LocalReplyReason.UpstreamRefused;
     case AttemptEnd.ErrorResponse:
     case AttemptEnd.Broken:
-      return isRetryable(request) && (result.retryReserved === true || tryReserveRetry(context, request))
+      return isRetryable(request) &&
+        mayRiskEngine(context, request) &&
+        (result.retryReserved === true || tryReserveRetry(context, request))
         ? 'retry'
         : LocalReplyReason.UpstreamFailed;
   }
 }
 
+interface FinishOptions {
+  /** Additional fields of the log entry. */
+  readonly fields?: Readonly<Record<string, unknown>>;
+  /** Delay after which the caller may send the request again; by default that of the reason. */
+  readonly retryAfterMs?: number;
+}
+
+function finishWithheld(
+  context: GatewayContext,
+  request: ServedRequest,
+  { partId, retryInMs }: WithheldRequest,
+): void {
+  finish(
+    context,
+    request.exchange,
+    request,
+    LocalReplyReason.PartQuarantined,
+    'part of the prompt is quarantined',
+    { fields: { partId }, retryAfterMs: retryInMs },
+  );
+}
+
 /** Sends the final reply if the caller has no response yet, and writes the log entry and metrics of the request. */
 function finish(
   context: GatewayContext,
@@ -277,7 +315,7 @@
   request: ServedRequest | undefined,
   reason: LocalReplyReason | undefined,
   detail: string,
-  extraFields: Readonly<Record<string, unknown>> = {},
+  { fields = {}, retryAfterMs }: FinishOptions = {},
 ): void {
   const verdict = request === undefined ? Verdict.DidNotRun : requestVerdict(request);
   let status: number | undefined;
@@ -285,7 +323,11 @@
     if (request?.responseStarted === true) {
       exchange.abort();
     } else {
-      const reply = createLocalReply(reason, verdict, retryDelayMs(reason, context.options, context.random));
+      const reply = createLocalReply(
+        reason,
+        verdict,
+        retryAfterMs ?? retryDelayMs(reason, context.options, context.random),
+      );
       ({ status } = reply);
       exchange.sendLocalReply(reply);
     }
@@ -304,7 +346,7 @@
     events: request?.deliveredEvents,
     firstDataMs: elapsedMs(exchange, request?.firstDataMs),
     totalMs: elapsedMs(exchange, context.loop.nowMs()),
-    ...extraFields,
+    ...fields,
   });
   context.metrics.recordRequest({
     organisation: request?.organisationName ?? 'none',
--- a/packages/gateway/src/requests/servedRequest.ts
+++ b/packages/gateway/src/requests/servedRequest.ts
@@ -1,6 +1,7 @@
 import type { AttemptRecord } from '@pimentostall/core';
 import { verdictOf } from '@pimentostall/core';
 import type { LedgerAccount } from '../money/ledgerController.ts';
+import type { Probe } from '../quarantine/suspectTable.ts';
 import type { Route, ServiceDefinition } from '../types.ts';
 import { RouteKind } from '../types.ts';
 import type { CallerExchange } from './ports.ts';
@@ -35,6 +36,10 @@
   /** Id of the last event that was delivered to the caller. */
   lastEventId: string | undefined;
   firstDataMs: number | undefined;
+  /** True once an engine has ended before it began to answer the request. */
+  endedEngine: boolean;
+  /** Set if the request was let through to find out whether a quarantined part still crashes engines. */
+  probe: Probe | undefined;
 }
 
 /** Returns true if the request can be sent again although it may have been executed. */
