Take a stream that ends inside an event, or with its engine, for broken off

Cause: the remainder of an event was passed on at the end of a response, and an engine that ends closes its connections in an orderly way, which is how such a response ends.

Change: a remainder that is not blank fails the attempt, which goes on elsewhere or is cut off for the caller. The end of a response that only its connection delimits counts if its upstream still listens or was leaving.

--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -305,7 +305,11 @@
     if (this.connectionReset) {
       this.fail(UpstreamFailure.ConnectionClosed, 'connection reset before the end of the response');
     } else if (!this.ignoresEvents) {
-      this.report({ kind: RequestEventKind.UpstreamEnd, attempt: this.attempt });
+      this.report({
+        kind: RequestEventKind.UpstreamEnd,
+        attempt: this.attempt,
+        endsWithConnection: this.isCloseDelimited,
+      });
     }
   }
 
--- a/packages/gateway/src/quarantine/__tests__/simulatedEngines.ts
+++ b/packages/gateway/src/quarantine/__tests__/simulatedEngines.ts
@@ -180,7 +180,7 @@
     if (eventId > EVENT_COUNT) {
       call.ended = true;
       engine.calls.delete(call);
-      report({ kind: RequestEventKind.UpstreamEnd, attempt });
+      report({ kind: RequestEventKind.UpstreamEnd, attempt, endsWithConnection: false });
       return;
     }
     report({
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -52,7 +52,8 @@
   sent(): void;
   head(head?: Partial<UpstreamResponseHead>, bodyBytes?: number): void;
   data(text: string): void;
-  end(): void;
+  /** @param endsWithConnection true for a response without a length or chunks */
+  end(endsWithConnection?: boolean): void;
   fail(): void;
 }
 
@@ -259,8 +260,8 @@
       data: (text) => {
         report({ kind: RequestEventKind.UpstreamData, attempt, data: Buffer.from(text) });
       },
-      end: () => {
-        report({ kind: RequestEventKind.UpstreamEnd, attempt });
+      end: (endsWithConnection = false) => {
+        report({ kind: RequestEventKind.UpstreamEnd, attempt, endsWithConnection });
       },
       fail: () => {
         report({
--- a/packages/gateway/src/requests/__tests__/serveRequest.test.ts
+++ b/packages/gateway/src/requests/__tests__/serveRequest.test.ts
@@ -319,3 +319,72 @@
   assert.equal(play(1).calls.length, 2);
   assert.equal(play(5_000).calls.length, 1);
 });
+
+test('a stream that ends inside an event goes on at another engine and does not look complete', () => {
+  const { rig, caller } = startStream();
+  rig.call.data('id: 2\ndata: b');
+  rig.call.end();
+  assert.equal(caller.ended, false);
+  assert.equal(caller.body, 'id: 1\ndata: a\n\n');
+  rig.call.sent();
+  assert.equal(rig.call.request.lastEventId, '1');
+  rig.call.head();
+  rig.call.data('id: 2\ndata: b\n\n');
+  rig.call.end();
+  assert.equal(caller.body, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+  assert.equal(caller.ended, true);
+});
+
+test('a stream that ends inside an event and cannot go on is cut off for its caller', () => {
+  const rig = new RequestRig({ kind: RouteKind.Streaming, resumable: false });
+  const caller = rig.send();
+  rig.call.sent();
+  rig.call.head();
+  rig.call.data('id: 1\ndata: a\n\nid: 2\n');
+  rig.call.end();
+  assert.equal(caller.ended, false);
+  assert.equal(caller.aborted, true);
+});
+
+test('a blank line after the last event does not count as an event that broke off', () => {
+  const { rig, caller } = startStream();
+  rig.call.data('\r\n');
+  rig.call.end();
+  assert.equal(caller.ended, true);
+});
+
+test('a stream without a length that ends as its engine crashes goes on at another engine', async () => {
+  const { rig, caller } = startStream();
+  rig.ended.add(rig.call.upstreamId);
+  rig.call.end(true);
+  await settle();
+  assert.equal(caller.ended, false);
+  assert.equal(rig.calls.length, 2);
+  assert.equal(rig.call.request.lastEventId, '1');
+});
+
+test('a response without a length that ends as its upstream crashes is not passed on as whole', async () => {
+  const rig = new RequestRig();
+  const caller = rig.send();
+  rig.call.sent();
+  rig.call.head();
+  rig.call.data('half of');
+  rig.ended.add(rig.call.upstreamId);
+  rig.call.end(true);
+  await settle();
+  assert.equal(caller.ended, false);
+  assert.equal(rig.calls.length, 2);
+});
+
+test('a stream without a length is complete if its engine goes on running', async () => {
+  const { rig, caller } = startStream();
+  rig.call.end(true);
+  await settle();
+  assert.equal(caller.ended, true);
+  assert.equal(rig.calls.length, 1);
+});
+
+/** Lets the callbacks of resolved promises run. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/packages/gateway/src/requests/ports.ts
+++ b/packages/gateway/src/requests/ports.ts
@@ -82,7 +82,12 @@
       readonly bodyBytes: number | undefined;
     }
   | { readonly kind: RequestEventKind.UpstreamData; readonly attempt: number; readonly data: Buffer }
-  | { readonly kind: RequestEventKind.UpstreamEnd; readonly attempt: number }
+  | {
+      readonly kind: RequestEventKind.UpstreamEnd;
+      readonly attempt: number;
+      /** True for a response that has neither a length nor chunks, so that only its connection shows the end. */
+      readonly endsWithConnection: boolean;
+    }
   | {
       readonly kind: RequestEventKind.UpstreamFailed;
       readonly attempt: number;
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -6,11 +6,11 @@
 import type { AttemptOutcome, AttemptProgress, AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd, endPrefill, recordProgress } from './attemptProgress.ts';
 import { checkTimeouts, MAX_HELD_RESPONSE_BYTES, nextTimeoutAtMs } from './attemptTimeouts.ts';
-import { recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
+import { hasCrashed, recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
 import { ByteCollector } from './byteCollector.ts';
 import { EventSplitter } from './eventSplitter.ts';
-import type { RequestEvent, UpstreamFailure, UpstreamResponseHead } from './ports.ts';
-import { RequestEventKind } from './ports.ts';
+import type { RequestEvent, UpstreamResponseHead } from './ports.ts';
+import { RequestEventKind, UpstreamFailure } from './ports.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
 
@@ -45,7 +45,9 @@
       const result =
         event === undefined
           ? checkTimeouts(context, request, progress, mayRetry)
-          : handleEvent(context, request, progress, event, mayRetry);
+          : (yield* brokeOffWithUpstream(context, progress, event))
+            ? handleFailure(context, progress, UpstreamFailure.ConnectionClosed, 'upstream ended')
+            : handleEvent(context, request, progress, event, mayRetry);
       if (progress.firstEventAtMs !== undefined) {
         unanswered.remove();
       }
@@ -61,6 +63,23 @@
   }
 }
 
+/**
+ * Whether a response that only its connection delimits ended because its upstream did: a process that ends closes its
+ * connections in an orderly way.
+ */
+function* brokeOffWithUpstream(
+  context: GatewayContext,
+  { number, placement }: AttemptProgress,
+  event: RequestEvent,
+): Task<boolean> {
+  return (
+    event.kind === RequestEventKind.UpstreamEnd &&
+    event.attempt === number &&
+    event.endsWithConnection &&
+    (yield* hasCrashed(context, placement.upstream))
+  );
+}
+
 function openAttempt(context: GatewayContext, request: ServedRequest, placement: Placement): AttemptProgress {
   const nowMs = context.loop.nowMs();
   const { exchange, attempts, triedUpstreams } = request;
@@ -327,8 +346,8 @@
   progress: AttemptProgress,
 ): AttemptResult {
   const remainder = progress.splitter?.takeRemainder();
-  if (remainder !== undefined && remainder.length > 0) {
-    writeToCaller(context, request, progress, remainder);
+  if (remainder !== undefined && !isBlank(remainder)) {
+    return handleFailure(context, progress, UpstreamFailure.ConnectionClosed, 'stream ended inside an event');
   }
   writeHeldData(context, request, progress);
   startResponse(context, request, progress);
@@ -340,6 +359,11 @@
   return { end: AttemptEnd.Answered, detail: `status ${progress.head?.status ?? 0}` };
 }
 
+/** Whether bytes after the last event consist of line ends alone. */
+function isBlank(bytes: Buffer): boolean {
+  return bytes.toString('latin1').trim() === '';
+}
+
 function handleFailure(
   context: GatewayContext,
   progress: AttemptProgress,
--- a/packages/gateway/src/requests/suspectRequests.ts
+++ b/packages/gateway/src/requests/suspectRequests.ts
@@ -2,6 +2,7 @@
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
+import type { UpstreamView } from '../placement/upstreamView.ts';
 import { applySuspectChanges } from '../quarantine/applySuspectChanges.ts';
 import type { UnansweredAttempt } from '../quarantine/quarantineState.ts';
 import { PartChange, sharedPartIds } from '../quarantine/suspectTable.ts';
@@ -69,8 +70,7 @@
   const { board, log, loop, metrics, options } = context;
   const { entry } = upstream;
   const failedAtMs = loop.nowMs();
-  const isLeaving = entry.state !== UpstreamState.Ready || board.upstreams.get(entry.upstreamId) !== upstream;
-  if (isLeaving || !(yield* loop.settled(context.upstreamPort.hasEnded(entry)))) {
+  if (!(yield* hasCrashed(context, upstream))) {
     return;
   }
   upstream.eject(loop.nowMs(), options.placement.ejectionMaxMs);
@@ -91,6 +91,16 @@
   applySuspectChanges(context, board.quarantine.table.recordCrash(engineKey, partIds, failedAtMs));
 }
 
+/** Whether an upstream has ended although it was not leaving, after one of its connections was closed. */
+export function* hasCrashed(
+  { board, loop, upstreamPort }: GatewayContext,
+  upstream: UpstreamView,
+): Task<boolean> {
+  const { entry } = upstream;
+  const isLeaving = entry.state !== UpstreamState.Ready || board.upstreams.get(entry.upstreamId) !== upstream;
+  return !isLeaving && (yield* loop.settled(upstreamPort.hasEnded(entry)));
+}
+
 /** Whether another engine may get a request although engines have ended with it, or with others that share a part. */
 export function mayRiskEngine({ board, options }: GatewayContext, request: ServedRequest): boolean {
   return board.quarantine.table.crashCount(partIdsOf(request)) < options.quarantine.retryThreshold;
