Do not try an upstream again that refuses connections

Cause: only three failures in a row ejected an upstream, although a refused connection shows that its process has ended.

Change: it gets no requests for the longest ejection time; one that starts again registers anew. The test fails on the code before.

--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -54,7 +54,7 @@
   data(text: string): void;
   /** @param endsWithConnection true for a response without a length or chunks */
   end(endsWithConnection?: boolean): void;
-  fail(): void;
+  fail(failure?: UpstreamFailure): void;
 }
 
 /** What the fake caller has received. */
@@ -263,13 +263,8 @@
       end: (endsWithConnection = false) => {
         report({ kind: RequestEventKind.UpstreamEnd, attempt, endsWithConnection });
       },
-      fail: () => {
-        report({
-          kind: RequestEventKind.UpstreamFailed,
-          attempt,
-          failure: UpstreamFailure.ConnectionClosed,
-          detail: 'reset',
-        });
+      fail: (failure = UpstreamFailure.ConnectionClosed) => {
+        report({ kind: RequestEventKind.UpstreamFailed, attempt, failure, detail: 'failed' });
       },
     };
     this.calls.push(call);
--- a/packages/gateway/src/requests/__tests__/serveRequest.test.ts
+++ b/packages/gateway/src/requests/__tests__/serveRequest.test.ts
@@ -2,6 +2,8 @@
 import { test } from 'node:test';
 import { Verdict } from '@pimentostall/core';
 import { RouteKind } from '../../types.ts';
+import { LocalReplyReason } from '../localReplies.ts';
+import { UpstreamFailure } from '../ports.ts';
 import type { FakeCaller } from './requestRig.ts';
 import { RequestRig } from './requestRig.ts';
 
@@ -384,6 +386,15 @@
   assert.equal(rig.calls.length, 1);
 });
 
+test('an upstream that refuses a connection is not tried again by the requests after it', () => {
+  const rig = new RequestRig({}, ['a']);
+  rig.send();
+  rig.call.fail(UpstreamFailure.ConnectionRefused);
+  const caller = rig.send();
+  assert.equal(rig.calls.length, 1);
+  assert.equal(caller.localReply?.reason, LocalReplyReason.NoUpstream);
+});
+
 /** Lets the callbacks of resolved promises run. */
 function settle(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -370,7 +370,13 @@
   failure: UpstreamFailure,
   detail: string,
 ): AttemptResult {
-  progress.placement.upstream.recordFailure(context.loop.nowMs());
+  const { upstream } = progress.placement;
+  const nowMs = context.loop.nowMs();
+  upstream.recordFailure(nowMs);
+  if (failure === UpstreamFailure.ConnectionRefused) {
+    // Its process has ended; one that starts again registers anew.
+    upstream.eject(nowMs, context.options.placement.ejectionMaxMs);
+  }
   const sent = progress.record.state !== AttemptState.NotSent;
   return { end: sent ? AttemptEnd.Broken : AttemptEnd.NotSent, failure, detail };
 }
