Send no request to an engine that says in a response that it is leaving

Cause: the state of an upstream came from the register alone.

Change: platform/ decodes Server-Leaving into the head of each response, also errors, refusals, late copies and the polls of cache events; a 421 is excluded, since it comes from another upstream. The incarnation is remembered beyond its row and its view, so that only another one takes requests again. Attempts that wait for a connection go elsewhere, and what runs goes on.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -14,7 +14,7 @@
 
 /** Names of the platform's protocol. Only platform/ may use them. */
 const wireNames =
-  '/^(x-attempt-id|x-response-signature|x-expected-instance|x-not-executed|x-token-usage|x-prompt-prefix|x-tenant|x-api-key|rows-tx|expected-revision|row-version|table-name)$/i';
+  '/^(x-attempt-id|x-response-signature|x-expected-instance|x-not-executed|x-token-usage|x-prompt-prefix|x-tenant|x-api-key|server-leaving|rows-tx|expected-revision|row-version|table-name)$/i';
 
 export default tseslint.config(
   { ignores: ['**/node_modules/**', 'dist/**', 'target/**', 'packages/shell/src/generated/**', '**/*.mjs'] },
--- a/packages/gateway/src/quarantine/__tests__/simulatedEngines.ts
+++ b/packages/gateway/src/__tests__/fleet/simulatedEngines.ts
@@ -19,6 +19,7 @@
   readonly request: UpstreamRequest;
   readonly attempt: number;
   readonly report: (event: RequestEvent) => void;
+  readonly routerId: string;
   ended: boolean;
 }
 
@@ -26,11 +27,15 @@
   readonly entry: UpstreamEntry;
   readonly calls: Set<RunningCall>;
   alive: boolean;
+  /** Says in all of its responses that it is leaving. */
+  leaving: boolean;
 }
 
 /** An arrival of a request at an engine. */
 export interface Arrival {
   readonly atMs: number;
+  readonly upstreamId: string;
+  readonly routerId: string;
   readonly requestId: string;
   readonly isTainted: boolean;
 }
@@ -39,6 +44,8 @@
 export class SimulatedEngines {
   readonly crashingParts = new Set<string>();
   readonly arrivals: Arrival[] = [];
+  /** Times of the first response in which an engine told a router that it is leaving, by `ROUTER ENGINE`. */
+  readonly toldLeavingAtMs = new Map<string, number>();
   /** Times of the crashes that a request caused. */
   readonly crashTimesMs: number[] = [];
   private readonly engines = new Map<string, Engine>();
@@ -73,8 +80,9 @@
     request: UpstreamRequest,
     attempt: number,
     report: (event: RequestEvent) => void,
+    routerId: string,
   ): UpstreamCall {
-    const call: RunningCall = { request, attempt, report, ended: false };
+    const call: RunningCall = { request, attempt, report, routerId, ended: false };
     this.timeline.schedule(NETWORK_MS, () => {
       this.receive(upstream.upstreamId, call);
     });
@@ -101,6 +109,16 @@
     }
   }
 
+  /** Lets engines leave without a word in the register. */
+  leave(upstreamIds: readonly string[]): void {
+    for (const upstreamId of upstreamIds) {
+      const engine = this.engines.get(upstreamId);
+      if (engine !== undefined) {
+        engine.leaving = true;
+      }
+    }
+  }
+
   aliveIds(): string[] {
     return [...this.engines.values()].filter(({ alive }) => alive).map(({ entry }) => entry.upstreamId);
   }
@@ -118,7 +136,7 @@
       warmupLeftMs: 0,
       startTimeMs: this.timeline.nowMs,
     };
-    this.engines.set(upstreamId, { entry, calls: new Set(), alive: true });
+    this.engines.set(upstreamId, { entry, calls: new Set(), alive: true, leaving: false });
   }
 
   private register(): void {
@@ -142,7 +160,8 @@
     }
     const isTainted = this.isTainted(request);
     const requestId = request.head.requestId ?? '';
-    this.arrivals.push({ atMs: this.timeline.nowMs, requestId, isTainted });
+    const { routerId } = call;
+    this.arrivals.push({ atMs: this.timeline.nowMs, upstreamId, routerId, requestId, isTainted });
     engine.calls.add(call);
     report({ kind: RequestEventKind.UpstreamSent, attempt });
     this.timeline.schedule(PREFILL_MS * (0.5 + this.random()), () => {
@@ -158,13 +177,17 @@
       this.end(engine);
       return;
     }
-    const { attempt } = call;
+    const { attempt, routerId } = call;
+    if (engine.leaving) {
+      this.recordToldLeaving(routerId, engine);
+    }
     const head = {
       status: 200,
       notExecuted: false,
       wrongUpstream: false,
       matchesRequest: true,
       belongsToOtherRequest: false,
+      upstreamLeaving: engine.leaving,
       signed: true,
       forwardHeaders: [],
     };
@@ -172,6 +195,11 @@
     this.sendEvent(engine, call, Number(call.request.lastEventId ?? 0) + 1);
   }
 
+  private recordToldLeaving(routerId: string, { entry }: Engine): void {
+    const key = `${routerId} ${entry.upstreamId}`;
+    this.toldLeavingAtMs.set(key, this.toldLeavingAtMs.get(key) ?? this.timeline.nowMs);
+  }
+
   private sendEvent(engine: Engine, call: RunningCall, eventId: number): void {
     if (call.ended || !engine.alive) {
       return;
--- a/packages/gateway/src/quarantine/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/__tests__/fleet/simulatedFleet.ts
@@ -7,10 +7,14 @@
 import { createOptions } from '../../options.ts';
 import { UpstreamView } from '../../placement/upstreamView.ts';
 import type { CallerExchange, LocalReply, RequestEvent } from '../../requests/ports.ts';
-import { ageReport } from '../ageReport.ts';
-import { exchangeSuspects, receiveSuspects, requestSuspectResync } from '../exchangeSuspects.ts';
-import { readQuarantine, storeQuarantine } from '../storeQuarantine.ts';
-import type { QuarantineStore, SuspectReport } from '../types.ts';
+import { ageReport } from '../../quarantine/ageReport.ts';
+import {
+  exchangeSuspects,
+  receiveSuspects,
+  requestSuspectResync,
+} from '../../quarantine/exchangeSuspects.ts';
+import { readQuarantine, storeQuarantine } from '../../quarantine/storeQuarantine.ts';
+import type { QuarantineStore, SuspectReport } from '../../quarantine/types.ts';
 import { serveRequest } from '../../requests/serveRequest.ts';
 import { RouteTable } from '../../routing/routeTable.ts';
 import { TaskLoop } from '../../runtime/taskLoop.ts';
@@ -220,6 +224,18 @@
       .length;
   }
 
+  /**
+   * Arrivals at an engine of requests that were sent later than a time after the engine had told their router that it is
+   * leaving.
+   */
+  arrivalsAtLeavingEngines(delayMs: number): number {
+    const sentAtMs = new Map(this.outcomes.map((outcome) => [outcome.requestId, outcome.sentAtMs]));
+    return this.engines.arrivals.filter(({ requestId, routerId, upstreamId }) => {
+      const toldAtMs = this.engines.toldLeavingAtMs.get(`${routerId} ${upstreamId}`) ?? Infinity;
+      return (sentAtMs.get(requestId) ?? 0) > toldAtMs + delayMs;
+    }).length;
+  }
+
   private startRouter(index: number): void {
     const router = this.routers[index];
     if (router === undefined) {
@@ -317,7 +333,8 @@
       },
       peerPort: { borrow: failUnusedPort, cancel: failUnusedPort },
       upstreamPort: {
-        open: (upstream, request, attempt, report) => this.engines.open(upstream, request, attempt, report),
+        open: (upstream, request, attempt, report) =>
+          this.engines.open(upstream, request, attempt, report, context.self.routerId),
         hasEnded: (upstream) => Promise.resolve(!this.engines.isListening(upstream.upstreamId)),
         removeUpstream: () => undefined,
       },
--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -3,6 +3,7 @@
 import { MembershipCache, RouterRegistry } from './membership/routerRegistry.ts';
 import type { LedgerAccount } from './money/ledgerController.ts';
 import type { PreviousIncarnation } from './money/liveness.ts';
+import { LeavingUpstreams } from './placement/leavingUpstreams.ts';
 import type { UpstreamView } from './placement/upstreamView.ts';
 import { DEFAULT_QUARANTINE } from './quarantine/options.ts';
 import type { QuarantineState } from './quarantine/quarantineState.ts';
@@ -21,6 +22,8 @@
   organisationByKey: ReadonlyMap<string, string>;
   /** All known upstreams by id, including those that are not ready. */
   readonly upstreams: Map<string, UpstreamView>;
+  /** Upstreams that said that they are leaving, whatever the registry says of them. */
+  readonly leavingUpstreams: LeavingUpstreams;
   readonly routers: RouterRegistry;
   /** Ids of the home routers by organisation name. */
   readonly homeRouters: MembershipCache<readonly string[]>;
@@ -58,6 +61,7 @@
     routeTable: undefined,
     organisationByKey: new Map(),
     upstreams: new Map(),
+    leavingUpstreams: new LeavingUpstreams(),
     routers,
     homeRouters: new MembershipCache(routers),
     accounts: new Map(),
--- a/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
+++ b/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
@@ -19,6 +19,7 @@
     wrongUpstream: false,
     matchesRequest: true,
     belongsToOtherRequest: false,
+    upstreamLeaving: false,
     signed: true,
     forwardHeaders: rawHeaders,
   }),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -39,6 +39,7 @@
 export { CacheView } from './placement/cacheView.ts';
 export type { Placement, RouterLocation, PlacementRequest } from './placement/chooseUpstream.ts';
 export { chooseUpstream } from './placement/chooseUpstream.ts';
+export { recordLeaving } from './placement/recordLeaving.ts';
 export type { PlacementOptions } from './placement/options.ts';
 export { DEFAULT_PLACEMENT } from './placement/options.ts';
 export { UpstreamView } from './placement/upstreamView.ts';
--- a/packages/gateway/src/placement/upstreamView.ts
+++ b/packages/gateway/src/placement/upstreamView.ts
@@ -21,6 +21,10 @@
   /** Moving average of the failure rate, from 0 to 1. */
   failureRate = 0;
   readonly cache = new CacheView();
+  /** True once the upstream has said in a response that it is leaving. */
+  leaving = false;
+  /** Called when the upstream takes no more requests, for each attempt that waits for a connection to it. */
+  readonly unsentAttempts = new Set<() => void>();
   private consecutiveFailures = 0;
   private readonly partSentAtMs = new Map<string, number>();
 
@@ -29,8 +33,13 @@
     private readonly options: PlacementOptions,
   ) {}
 
+  /** False if it is leaving according to the registry or to itself. */
+  get isStaying(): boolean {
+    return this.entry.state === UpstreamState.Ready && !this.leaving;
+  }
+
   isUsable(nowMs: number): boolean {
-    return this.entry.state === UpstreamState.Ready && nowMs >= this.ejectedUntilMs;
+    return this.isStaying && nowMs >= this.ejectedUntilMs;
   }
 
   recordSuccess(): void {
@@ -47,6 +56,13 @@
     }
   }
 
+  /** Sends the attempts elsewhere that wait for a connection. */
+  withdrawUnsentAttempts(): void {
+    for (const withdraw of [...this.unsentAttempts]) {
+      withdraw();
+    }
+  }
+
   /** Excludes the upstream for a time. Called directly where a single event is conclusive. */
   eject(nowMs: number, durationMs: number): void {
     this.ejectedUntilMs = Math.max(this.ejectedUntilMs, nowMs + durationMs);
--- a/packages/gateway/src/quarantine/__tests__/crashingPart.test.ts
+++ b/packages/gateway/src/quarantine/__tests__/crashingPart.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { seededRandom } from '@pimentostall/core';
 import { LocalReplyReason } from '../../requests/localReplies.ts';
-import { SimulatedFleet } from './simulatedFleet.ts';
+import { SimulatedFleet } from '../../__tests__/fleet/simulatedFleet.ts';
 
 /** Time that the users' rules allow after the fifth crash until requests with the part must no longer reach engines. */
 const CONTACT_MS = 3_000;
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -3,6 +3,7 @@
 import type { GatewayContext } from '../../context.ts';
 import { GatewayMetrics } from '../../observability/metrics.ts';
 import { createOptions } from '../../options.ts';
+import { DEFAULT_PLACEMENT } from '../../placement/options.ts';
 import { UpstreamView } from '../../placement/upstreamView.ts';
 import { RouteTable } from '../../routing/routeTable.ts';
 import { TaskLoop } from '../../runtime/taskLoop.ts';
@@ -40,6 +41,7 @@
   wrongUpstream: false,
   matchesRequest: true,
   belongsToOtherRequest: false,
+  upstreamLeaving: false,
   signed: true,
   forwardHeaders: [],
 };
@@ -123,17 +125,7 @@
     };
     board.routeTable = new RouteTable(routes);
     for (const upstreamId of upstreamIds) {
-      const entry = {
-        upstreamId,
-        serviceName: 'orders',
-        address: '127.0.0.1:1',
-        availabilityZone: 'z',
-        state: UpstreamState.Ready,
-        slots: 1,
-        warmupLeftMs: 0,
-        startTimeMs: undefined,
-      };
-      board.upstreams.set(upstreamId, new UpstreamView(entry, options.placement));
+      board.upstreams.set(upstreamId, createView(upstreamId));
     }
     const failUnusedPort = (): never => {
       throw new Error('not used');
@@ -168,6 +160,10 @@
     };
   }
 
+  addUpstream(upstreamId: string): void {
+    this.context.board.upstreams.set(upstreamId, createView(upstreamId));
+  }
+
   advance(durationMs: number): void {
     const untilMs = this.nowMs + durationMs;
     while (this.timer !== undefined && this.timer.atMs <= untilMs) {
@@ -278,3 +274,17 @@
     };
   }
 }
+
+function createView(upstreamId: string): UpstreamView {
+  const entry = {
+    upstreamId,
+    serviceName: 'orders',
+    address: '127.0.0.1:1',
+    availabilityZone: 'z',
+    state: UpstreamState.Ready,
+    slots: 1,
+    warmupLeftMs: 0,
+    startTimeMs: undefined,
+  };
+  return new UpstreamView(entry, DEFAULT_PLACEMENT);
+}
--- a/packages/gateway/src/requests/attemptProgress.ts
+++ b/packages/gateway/src/requests/attemptProgress.ts
@@ -67,6 +67,8 @@
   firstEventAtMs: number | undefined;
   /** True once the start of the answer has cleared the parts of the prompt. */
   startRecorded: boolean;
+  /** Sends the request elsewhere if it still waits for a connection. */
+  readonly withdrawUnsent: () => void;
 }
 
 export function recordProgress(progress: AttemptProgress, nowMs: number): void {
--- a/packages/gateway/src/requests/ports.ts
+++ b/packages/gateway/src/requests/ports.ts
@@ -42,6 +42,8 @@
   readonly matchesRequest: boolean;
   /** The response refers to another request: a copy that arrives late, on a connection that is in use again. */
   readonly belongsToOtherRequest: boolean;
+  /** The upstream is leaving: it serves what it has and wants no more requests. */
+  readonly upstreamLeaving: boolean;
   /** The response has the upstream's signature. */
   readonly signed: boolean;
   /** Headers to forward to the caller, as alternating names and values. */
@@ -64,6 +66,8 @@
   UpstreamData = 'upstream-data',
   UpstreamEnd = 'upstream-end',
   UpstreamFailed = 'upstream-failed',
+  /** The upstream takes no more requests; one that was not sent yet must go elsewhere. */
+  UpstreamUnavailable = 'upstream-unavailable',
   /** A part of the prompt crashes engines; an attempt whose answer has not begun must end. */
   PartQuarantined = 'part-quarantined',
   CallerDisconnected = 'caller-gone',
@@ -94,6 +98,7 @@
       readonly failure: UpstreamFailure;
       readonly detail: string;
     }
+  | { readonly kind: RequestEventKind.UpstreamUnavailable; readonly attempt: number }
   | { readonly kind: RequestEventKind.PartQuarantined }
   | { readonly kind: RequestEventKind.CallerDisconnected }
   | { readonly kind: RequestEventKind.RouterStopping };
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -1,6 +1,7 @@
 import type { AttemptRecord, Task } from '@pimentostall/core';
 import { AttemptState, receive } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
+import { recordLeaving } from '../placement/recordLeaving.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
 import { RouteKind } from '../types.ts';
 import type { AttemptOutcome, AttemptProgress, AttemptResult } from './attemptProgress.ts';
@@ -58,6 +59,7 @@
     }
   } finally {
     unanswered.remove();
+    view.unsentAttempts.delete(progress.withdrawUnsent);
     view.inFlight -= 1;
     endPrefill(progress);
   }
@@ -92,6 +94,10 @@
   };
   attempts.push(record);
   triedUpstreams.add(upstream.entry.upstreamId);
+  const withdrawUnsent = (): void => {
+    context.loop.push(exchange.events, { kind: RequestEventKind.UpstreamUnavailable, attempt: number });
+  };
+  upstream.unsentAttempts.add(withdrawUnsent);
   const call = context.upstreamPort.open(
     upstream.entry,
     {
@@ -124,6 +130,7 @@
     sentAtMs: undefined,
     firstEventAtMs: undefined,
     startRecorded: false,
+    withdrawUnsent,
   };
 }
 
@@ -173,8 +180,15 @@
       progress.record.state = AttemptState.Sent;
       progress.lastProgressAtMs = nowMs;
       progress.sentAtMs = nowMs;
+      progress.placement.upstream.unsentAttempts.delete(progress.withdrawUnsent);
       request.sentCount += 1;
       return undefined;
+    case RequestEventKind.UpstreamUnavailable:
+      if (progress.record.state !== AttemptState.NotSent) {
+        return undefined;
+      }
+      progress.call.cancel();
+      return { end: AttemptEnd.NotSent, detail: 'upstream unavailable before the request was sent' };
     case RequestEventKind.UpstreamHead:
       recordProgress(progress, nowMs);
       progress.head = event.head;
@@ -198,6 +212,9 @@
 ): AttemptResult | undefined {
   const view = progress.placement.upstream;
   const nowMs = context.loop.nowMs();
+  if (head.upstreamLeaving && !head.wrongUpstream) {
+    recordLeaving(context, view, 'response');
+  }
   if (head.belongsToOtherRequest) {
     // Whatever it says, also that the upstream did not execute the request, says nothing about this one.
     progress.call.cancel();
--- a/packages/gateway/src/requests/suspectRequests.ts
+++ b/packages/gateway/src/requests/suspectRequests.ts
@@ -6,7 +6,6 @@
 import { applySuspectChanges } from '../quarantine/applySuspectChanges.ts';
 import type { UnansweredAttempt } from '../quarantine/quarantineState.ts';
 import { PartChange, sharedPartIds } from '../quarantine/suspectTable.ts';
-import { UpstreamState } from '../types.ts';
 import type { AttemptOutcome, AttemptProgress } from './attemptProgress.ts';
 import { AttemptEnd } from './attemptProgress.ts';
 import { RequestEventKind, UpstreamFailure } from './ports.ts';
@@ -97,8 +96,8 @@
   upstream: UpstreamView,
 ): Task<boolean> {
   const { entry } = upstream;
-  const isLeaving = entry.state !== UpstreamState.Ready || board.upstreams.get(entry.upstreamId) !== upstream;
-  return !isLeaving && (yield* loop.settled(upstreamPort.hasEnded(entry)));
+  const isRegistered = board.upstreams.get(entry.upstreamId) === upstream;
+  return isRegistered && upstream.isStaying && (yield* loop.settled(upstreamPort.hasEnded(entry)));
 }
 
 /** Whether another engine may get a request although engines have ended with it, or with others that share a part. */
