Send no request to an engine within the time that it asked for

Cause: the header of a response was not read.

While all engines of a service ask for time, callers are refused at once as upstreams-busy, with the soonest moment at which one takes requests, spread, and not above a third of their time.

--- a/packages/gateway/src/__tests__/fleet/simulatedEngines.ts
+++ b/packages/gateway/src/__tests__/fleet/simulatedEngines.ts
@@ -1,6 +1,11 @@
 import type { RandomSource } from '@pimentostall/core';
-import type { RequestEvent, UpstreamCall, UpstreamRequest } from '../../requests/ports.ts';
-import { RequestEventKind, UpstreamFailure } from '../../requests/ports.ts';
+import type {
+  RequestEvent,
+  UpstreamCall,
+  UpstreamRequest,
+  UpstreamResponseHead,
+} from '../../requests/ports.ts';
+import { RequestEventKind, RetryAfterKind, UpstreamFailure } from '../../requests/ports.ts';
 import type { UpstreamEntry } from '../../types.ts';
 import { UpstreamState } from '../../types.ts';
 import type { Timeline } from '../../money/__tests__/timeline.ts';
@@ -29,6 +34,8 @@
   alive: boolean;
   /** Says in all of its responses that it is leaving. */
   leaving: boolean;
+  /** Until this time it turns requests away and says how long. */
+  shedsUntilMs: number;
 }
 
 /** An arrival of a request at an engine. */
@@ -40,10 +47,19 @@
   readonly isTainted: boolean;
 }
 
+/** A response with which an engine told a router that it wants no requests until a time. */
+export interface AskedForTime {
+  readonly routerId: string;
+  readonly upstreamId: string;
+  readonly atMs: number;
+  readonly untilMs: number;
+}
+
 /** Model engines that end when they begin to answer a request with one of the crashing parts, and come back later. */
 export class SimulatedEngines {
   readonly crashingParts = new Set<string>();
   readonly arrivals: Arrival[] = [];
+  readonly askedForTime: AskedForTime[] = [];
   /** Times of the first response in which an engine told a router that it is leaving, by `ROUTER ENGINE`. */
   readonly toldLeavingAtMs = new Map<string, number>();
   /** Times of the crashes that a request caused. */
@@ -109,6 +125,16 @@
     }
   }
 
+  /** Lets engines turn requests away for a time. */
+  shed(upstreamIds: readonly string[], durationMs: number): void {
+    for (const upstreamId of upstreamIds) {
+      const engine = this.engines.get(upstreamId);
+      if (engine !== undefined) {
+        engine.shedsUntilMs = this.timeline.nowMs + durationMs;
+      }
+    }
+  }
+
   /** Lets engines leave without a word in the register. */
   leave(upstreamIds: readonly string[]): void {
     for (const upstreamId of upstreamIds) {
@@ -136,7 +162,13 @@
       warmupLeftMs: 0,
       startTimeMs: this.timeline.nowMs,
     };
-    this.engines.set(upstreamId, { entry, calls: new Set(), alive: true, leaving: false });
+    this.engines.set(upstreamId, {
+      entry,
+      calls: new Set(),
+      alive: true,
+      leaving: false,
+      shedsUntilMs: -Infinity,
+    });
   }
 
   private register(): void {
@@ -162,8 +194,12 @@
     const requestId = request.head.requestId ?? '';
     const { routerId } = call;
     this.arrivals.push({ atMs: this.timeline.nowMs, upstreamId, routerId, requestId, isTainted });
-    engine.calls.add(call);
     report({ kind: RequestEventKind.UpstreamSent, attempt });
+    if (engine.shedsUntilMs > this.timeline.nowMs) {
+      this.turnAway(engine, call);
+      return;
+    }
+    engine.calls.add(call);
     this.timeline.schedule(PREFILL_MS * (0.5 + this.random()), () => {
       if (!call.ended && engine.alive) {
         this.answer(engine, call, isTainted);
@@ -181,13 +217,14 @@
     if (engine.leaving) {
       this.recordToldLeaving(routerId, engine);
     }
-    const head = {
+    const head: UpstreamResponseHead = {
       status: 200,
       notExecuted: false,
       wrongUpstream: false,
       matchesRequest: true,
       belongsToOtherRequest: false,
       upstreamLeaving: engine.leaving,
+      retryAfter: { kind: RetryAfterKind.Absent },
       signed: true,
       forwardHeaders: [],
     };
@@ -195,6 +232,24 @@
     this.sendEvent(engine, call, Number(call.request.lastEventId ?? 0) + 1);
   }
 
+  private turnAway({ entry, shedsUntilMs }: Engine, { attempt, report, routerId }: RunningCall): void {
+    const { nowMs } = this.timeline;
+    const delayMs = shedsUntilMs - nowMs;
+    this.askedForTime.push({ routerId, upstreamId: entry.upstreamId, atMs: nowMs, untilMs: shedsUntilMs });
+    const head: UpstreamResponseHead = {
+      status: 503,
+      notExecuted: true,
+      wrongUpstream: false,
+      matchesRequest: true,
+      belongsToOtherRequest: false,
+      upstreamLeaving: false,
+      retryAfter: { kind: RetryAfterKind.Delay, delayMs, isBounded: false },
+      signed: false,
+      forwardHeaders: [],
+    };
+    report({ kind: RequestEventKind.UpstreamHead, attempt, head, bodyBytes: 0 });
+  }
+
   private recordToldLeaving(routerId: string, { entry }: Engine): void {
     const key = `${routerId} ${entry.upstreamId}`;
     this.toldLeavingAtMs.set(key, this.toldLeavingAtMs.get(key) ?? this.timeline.nowMs);
--- a/packages/gateway/src/__tests__/fleet/simulatedFleet.ts
+++ b/packages/gateway/src/__tests__/fleet/simulatedFleet.ts
@@ -236,6 +236,21 @@
     }).length;
   }
 
+  /** Largest number of arrivals at an engine from one router between some time after it asked for time and the end. */
+  maxArrivalsDespiteRequestForTime(slackMs: number): number {
+    const counts = this.engines.askedForTime.map(
+      ({ routerId, upstreamId, atMs, untilMs }) =>
+        this.engines.arrivals.filter(
+          (arrival) =>
+            arrival.routerId === routerId &&
+            arrival.upstreamId === upstreamId &&
+            arrival.atMs > atMs + slackMs &&
+            arrival.atMs < untilMs,
+        ).length,
+    );
+    return Math.max(0, ...counts);
+  }
+
   private startRouter(index: number): void {
     const router = this.routers[index];
     if (router === undefined) {
--- a/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
+++ b/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
@@ -4,7 +4,7 @@
 import { connect, createServer } from 'node:net';
 import { after, test } from 'node:test';
 import type { RequestEvent, UpstreamRequest } from '../../requests/ports.ts';
-import { RequestEventKind } from '../../requests/ports.ts';
+import { RequestEventKind, RetryAfterKind } from '../../requests/ports.ts';
 import type { UpstreamEntry } from '../../types.ts';
 import { UpstreamState } from '../../types.ts';
 import { UpstreamConnections } from '../upstreamConnections.ts';
@@ -20,6 +20,7 @@
     matchesRequest: true,
     belongsToOtherRequest: false,
     upstreamLeaving: false,
+    retryAfter: { kind: RetryAfterKind.Absent },
     signed: true,
     forwardHeaders: rawHeaders,
   }),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -39,6 +39,7 @@
 export { CacheView } from './placement/cacheView.ts';
 export type { Placement, RouterLocation, PlacementRequest } from './placement/chooseUpstream.ts';
 export { chooseUpstream } from './placement/chooseUpstream.ts';
+export { recordRetryAfter } from './placement/recordRetryAfter.ts';
 export { recordLeaving } from './placement/recordLeaving.ts';
 export type { PlacementOptions } from './placement/options.ts';
 export { DEFAULT_PLACEMENT } from './placement/options.ts';
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -123,11 +123,33 @@
     upstream.inFlight * options.batchCostMs +
     distanceCostMs(upstream, location, options) +
     upstream.failureRate * options.failureCostMs +
+    resumeCostMs(upstream, nowMs, options) +
     (upstream.entry.warmupLeftMs > 0 ? options.otherRegionCostMs : 0) -
     preferenceMs;
   return { upstream, costMs, uncachedTokens };
 }
 
+/** Lets the load return step by step to an upstream that asked for time. */
+function resumeCostMs({ resumesAtMs }: UpstreamView, nowMs: number, options: PlacementOptions): number {
+  const elapsedPart = (nowMs - resumesAtMs) / options.resumeRampMs;
+  return options.resumeCostMs * Math.max(0, 1 - elapsedPart);
+}
+
+/** Returns the soonest time at which an upstream that asked for time takes requests again; undefined without one. */
+export function soonestResumeAtMs(
+  serviceName: string,
+  upstreams: Iterable<UpstreamView>,
+  nowMs: number,
+): number | undefined {
+  const timesMs = [...upstreams]
+    .filter(
+      ({ entry, isStaying, resumesAtMs }) =>
+        entry.serviceName === serviceName && isStaying && resumesAtMs > nowMs,
+    )
+    .map(({ ejectedUntilMs, resumesAtMs }) => Math.max(ejectedUntilMs, resumesAtMs));
+  return timesMs.length === 0 ? undefined : Math.min(...timesMs);
+}
+
 function distanceCostMs(upstream: UpstreamView, location: RouterLocation, options: PlacementOptions): number {
   const zone = upstream.entry.availabilityZone;
   if (zone === location.availabilityZone) {
--- a/packages/gateway/src/placement/options.ts
+++ b/packages/gateway/src/placement/options.ts
@@ -16,6 +16,9 @@
   readonly cacheEventLagLimitMs: number;
   /** Preference for home engines: while no engine holds a part, all routers choose alike without communication. */
   readonly homePreferenceMs: number;
+  /** Cost of an upstream that has just resumed after it asked for time; falls to 0 within `resumeRampMs`. */
+  readonly resumeCostMs: number;
+  readonly resumeRampMs: number;
   /** Initial ejection time of an upstream after consecutive failures; doubles up to `ejectionMaxMs`. */
   readonly ejectionMs: number;
   readonly ejectionMaxMs: number;
@@ -33,6 +36,8 @@
   cacheRetentionMs: 10_000,
   cacheEventLagLimitMs: 1_500,
   homePreferenceMs: 40,
+  resumeCostMs: 300,
+  resumeRampMs: 1_500,
   ejectionMs: 500,
   ejectionMaxMs: 4_000,
   ejectionFailures: 3,
--- a/packages/gateway/src/placement/recordLeaving.ts
+++ b/packages/gateway/src/placement/recordLeaving.ts
@@ -3,7 +3,7 @@
 import type { UpstreamView } from './upstreamView.ts';
 
 /** The part of the gateway context that `recordLeaving` uses. */
-export type LeavingContext = Pick<GatewayContext, 'log'> & {
+export type LeavingContext = Pick<GatewayContext, 'log' | 'metrics'> & {
   readonly board: Pick<GatewayContext['board'], 'leavingUpstreams' | 'upstreams'>;
 };
 
@@ -12,7 +12,11 @@
  *
  * @param source the kind of response that said so
  */
-export function recordLeaving({ board, log }: LeavingContext, view: UpstreamView, source: string): void {
+export function recordLeaving(
+  { board, log, metrics }: LeavingContext,
+  view: UpstreamView,
+  source: string,
+): void {
   if (!board.leavingUpstreams.add(view.entry)) {
     return;
   }
@@ -22,6 +26,7 @@
     // Its row was deleted and has come back while the response was on its way.
     current.leaving = true;
   }
+  metrics.count('pimentostall_upstreams_unavailable_total', 'reason="leaving"');
   log(LogLevel.Info, 'upstream is leaving', {
     upstream: view.entry.upstreamId,
     service: view.entry.serviceName,
--- a/packages/gateway/src/placement/upstreamView.ts
+++ b/packages/gateway/src/placement/upstreamView.ts
@@ -23,8 +23,11 @@
   readonly cache = new CacheView();
   /** True once the upstream has said in a response that it is leaving. */
   leaving = false;
+  /** Monotonic time from which it takes requests again, after it asked for time. */
+  resumesAtMs = -Infinity;
   /** Called when the upstream takes no more requests, for each attempt that waits for a connection to it. */
   readonly unsentAttempts = new Set<() => void>();
+  private resumeReported = true;
   private consecutiveFailures = 0;
   private readonly partSentAtMs = new Map<string, number>();
 
@@ -39,7 +42,7 @@
   }
 
   isUsable(nowMs: number): boolean {
-    return this.isStaying && nowMs >= this.ejectedUntilMs;
+    return this.isStaying && nowMs >= this.ejectedUntilMs && nowMs >= this.resumesAtMs;
   }
 
   recordSuccess(): void {
@@ -56,6 +59,25 @@
     }
   }
 
+  /** Postpones further requests; returns false if they are postponed until later already. */
+  postpone(untilMs: number): boolean {
+    if (untilMs <= this.resumesAtMs) {
+      return false;
+    }
+    this.resumesAtMs = untilMs;
+    this.resumeReported = false;
+    return true;
+  }
+
+  /** Returns true once after the time for which the upstream asked. */
+  takeResumed(nowMs: number): boolean {
+    if (this.resumeReported || nowMs < this.resumesAtMs) {
+      return false;
+    }
+    this.resumeReported = true;
+    return true;
+  }
+
   /** Sends the attempts elsewhere that wait for a connection. */
   withdrawUnsentAttempts(): void {
     for (const withdraw of [...this.unsentAttempts]) {
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -17,7 +17,7 @@
   UpstreamResponseHead,
   UpstreamRequest,
 } from '../ports.ts';
-import { RequestEventKind, UpstreamFailure } from '../ports.ts';
+import { RequestEventKind, RetryAfterKind, UpstreamFailure } from '../ports.ts';
 import { serveRequest } from '../serveRequest.ts';
 
 export const ROUTE: Route = {
@@ -42,6 +42,7 @@
   matchesRequest: true,
   belongsToOtherRequest: false,
   upstreamLeaving: false,
+  retryAfter: { kind: RetryAfterKind.Absent },
   signed: true,
   forwardHeaders: [],
 };
--- a/packages/gateway/src/requests/localReplies.ts
+++ b/packages/gateway/src/requests/localReplies.ts
@@ -11,6 +11,7 @@
   BudgetExhausted = 'budget-exhausted',
   ShareShort = 'share-short',
   NoUpstream = 'no-upstream',
+  UpstreamsBusy = 'upstreams-busy',
   UpstreamRefused = 'upstream-refused',
   UpstreamFailed = 'upstream-failed',
   PartQuarantined = 'part-quarantined',
@@ -47,6 +48,10 @@
     status: 503,
     detail: 'No upstream of the service can be used now. Send the request again.',
   },
+  [LocalReplyReason.UpstreamsBusy]: {
+    status: 503,
+    detail: 'All upstreams of the service ask for time. Send the request again after the given time.',
+  },
   [LocalReplyReason.UpstreamRefused]: {
     status: 503,
     detail: 'The upstream did not take the request. Send the request again.',
--- a/packages/gateway/src/requests/ports.ts
+++ b/packages/gateway/src/requests/ports.ts
@@ -31,6 +31,23 @@
   readonly lastEventId: string | undefined;
 }
 
+export enum RetryAfterKind {
+  Absent = 'absent',
+  Delay = 'delay',
+  Invalid = 'invalid',
+}
+
+/** For how long an upstream that turned a request away wants no more of them. */
+export type UpstreamRetryAfter =
+  | { readonly kind: RetryAfterKind.Absent }
+  | {
+      readonly kind: RetryAfterKind.Delay;
+      readonly delayMs: number;
+      /** True if the upstream stated a longer time than is accepted. */
+      readonly isBounded: boolean;
+    }
+  | { readonly kind: RetryAfterKind.Invalid; readonly value: string };
+
 /** Metadata of an upstream's response, as decoded by the wire codec. */
 export interface UpstreamResponseHead {
   readonly status: number;
@@ -44,6 +61,8 @@
   readonly belongsToOtherRequest: boolean;
   /** The upstream is leaving: it serves what it has and wants no more requests. */
   readonly upstreamLeaving: boolean;
+  /** Only present in a response with which the upstream turns the request away. */
+  readonly retryAfter: UpstreamRetryAfter;
   /** The response has the upstream's signature. */
   readonly signed: boolean;
   /** Headers to forward to the caller, as alternating names and values. */
--- a/packages/gateway/src/requests/retryDelay.ts
+++ b/packages/gateway/src/requests/retryDelay.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from '@pimentostall/core';
 import type { GatewayOptions } from '../options.ts';
+import { RESUME_SPREAD_MS } from '../placement/recordRetryAfter.ts';
 import { LocalReplyReason } from './localReplies.ts';
 
 /** Fraction of the delay by which it varies in either direction. */
@@ -26,6 +27,7 @@
     case LocalReplyReason.BudgetExhausted:
     case LocalReplyReason.ShareShort:
     case LocalReplyReason.NoUpstream:
+    case LocalReplyReason.UpstreamsBusy:
     case LocalReplyReason.UpstreamRefused:
     case LocalReplyReason.UpstreamFailed:
     case LocalReplyReason.PartQuarantined:
@@ -33,3 +35,24 @@
       return retryAfterMs * (1 + SPREAD_FRACTION * (2 * random() - 1));
   }
 }
+
+/** Part of a caller's remaining time that it spends on waiting at most. */
+const MAX_WAIT_FRACTION = 1 / 3;
+
+export interface ResumeDelay {
+  /** Time until the first upstream takes requests again. */
+  readonly resumesInMs: number;
+  /** Time that the caller has left. */
+  readonly remainingMs: number;
+}
+
+/**
+ * Returns the time after which a request that no upstream takes now is sent again. Answers the load of engines that ask
+ * for time in a burst: their callers return when the first engine takes requests, spread over a time, and not so late
+ * that no time is left for the answer.
+ */
+export function resumeDelayMs({ resumesInMs, remainingMs }: ResumeDelay, random: RandomSource): number {
+  // Another router, which the caller may reach, may resume later than this one.
+  const spreadMs = resumesInMs * (1 + SPREAD_FRACTION * random()) + RESUME_SPREAD_MS;
+  return Math.max(0, Math.min(spreadMs, remainingMs * MAX_WAIT_FRACTION));
+}
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -2,7 +2,9 @@
 import { AttemptState, receive } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
 import { recordLeaving } from '../placement/recordLeaving.ts';
+import { recordRetryAfter } from '../placement/recordRetryAfter.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
+import { LogLevel } from '../observability/log.ts';
 import { RouteKind } from '../types.ts';
 import type { AttemptOutcome, AttemptProgress, AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd, endPrefill, recordProgress } from './attemptProgress.ts';
@@ -93,6 +95,9 @@
     state: AttemptState.NotSent,
   };
   attempts.push(record);
+  if (upstream.takeResumed(nowMs)) {
+    context.log(LogLevel.Info, 'upstream takes requests again', { upstream: upstream.entry.upstreamId });
+  }
   triedUpstreams.add(upstream.entry.upstreamId);
   const withdrawUnsent = (): void => {
     context.loop.push(exchange.events, { kind: RequestEventKind.UpstreamUnavailable, attempt: number });
@@ -215,6 +220,7 @@
   if (head.upstreamLeaving && !head.wrongUpstream) {
     recordLeaving(context, view, 'response');
   }
+  const asksForTime = recordRetryAfter(context, view, head.retryAfter);
   if (head.belongsToOtherRequest) {
     // Whatever it says, also that the upstream did not execute the request, says nothing about this one.
     progress.call.cancel();
@@ -230,7 +236,9 @@
   if (head.notExecuted) {
     progress.record.state = AttemptState.RefusedByUpstream;
     progress.call.discard();
-    view.recordFailure(nowMs);
+    if (!asksForTime) {
+      view.recordFailure(nowMs);
+    }
     return { end: AttemptEnd.Refused, detail: `upstream refused the request with status ${head.status}` };
   }
   if (!head.matchesRequest || !head.signed) {
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -11,14 +11,14 @@
 import { tokenWaitMs } from '../money/tokenWait.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
-import { chooseUpstream } from '../placement/chooseUpstream.ts';
+import { chooseUpstream, soonestResumeAtMs } from '../placement/chooseUpstream.ts';
 import { getOrCreateRetryBudget, tryReserveRetry } from '../retries/reserveRetry.ts';
 import { chooseService } from '../routing/routeTable.ts';
 import type { AttemptOutcome, AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd } from './attemptProgress.ts';
 import { LocalReplyReason, createLocalReply } from './localReplies.ts';
 import type { CallerExchange } from './ports.ts';
-import { retryDelayMs } from './retryDelay.ts';
+import { resumeDelayMs, retryDelayMs } from './retryDelay.ts';
 import { runAttempt } from './runAttempt.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable, requestVerdict } from './servedRequest.ts';
@@ -218,9 +218,7 @@
     }
     const placement = choosePlacement(context, request);
     if (placement === undefined) {
-      const reason =
-        request.attempts.length === 0 ? LocalReplyReason.NoUpstream : LocalReplyReason.UpstreamFailed;
-      finish(context, request.exchange, request, reason, 'no other upstream available');
+      finishUnplaced(context, request);
       return;
     }
     const mayRetry = request.sentCount + 1 < request.route.maxAttempts;
@@ -286,6 +284,30 @@
   }
 }
 
+function finishUnplaced(context: GatewayContext, request: ServedRequest): void {
+  const { board, loop, random } = context;
+  const nowMs = loop.nowMs();
+  const resumesAtMs = soonestResumeAtMs(request.service.name, board.upstreams.values(), nowMs);
+  if (resumesAtMs === undefined) {
+    const reason =
+      request.attempts.length === 0 ? LocalReplyReason.NoUpstream : LocalReplyReason.UpstreamFailed;
+    finish(context, request.exchange, request, reason, 'no other upstream available');
+    return;
+  }
+  const resumesInMs = resumesAtMs - nowMs;
+  finish(
+    context,
+    request.exchange,
+    request,
+    LocalReplyReason.UpstreamsBusy,
+    'all upstreams are unavailable or ask for time',
+    {
+      fields: { resumesInMs: Math.round(resumesInMs) },
+      retryAfterMs: resumeDelayMs({ resumesInMs, remainingMs: request.deadlineAtMs - nowMs }, random),
+    },
+  );
+}
+
 interface FinishOptions {
   /** Additional fields of the log entry. */
   readonly fields?: Readonly<Record<string, unknown>>;
