Exchange records of suspects seldom once nothing changes, quarantined parts first

Records last up to ten minutes, in which each router exchanged all of them with a peer twice a second. After ten seconds without a change it is once in five seconds (test: 0.1 to 0.3 exchanges a second); a router that starts or was cut off asks by itself. A message that cannot hold all records holds the quarantined parts.

--- a/packages/gateway/src/quarantine/__tests__/crashingPart.test.ts
+++ b/packages/gateway/src/quarantine/__tests__/crashingPart.test.ts
@@ -154,3 +154,15 @@
   const [small = 0, large = 0] = counts;
   assert.ok(large < small * 1.5, `${small} and ${large} messages a router`);
 });
+
+test('routers seldom exchange records once nothing changes any more', async () => {
+  const random = seededRandom(11);
+  const fleet = new SimulatedFleet(10, 10, random);
+  fleet.engines.crashingParts.add('crashing');
+  fleet.send(['crashing'], false);
+  await fleet.advance(15_000);
+  const before = fleet.exchangeCount;
+  await fleet.advance(10_000);
+  const perRouterSecond = (fleet.exchangeCount - before) / 10 / 10;
+  assert.ok(perRouterSecond > 0.1 && perRouterSecond < 0.3, `${perRouterSecond} exchanges`);
+});
--- a/packages/gateway/src/quarantine/exchangeSuspects.ts
+++ b/packages/gateway/src/quarantine/exchangeSuspects.ts
@@ -18,13 +18,13 @@
 /**
  * Spreads what routers know about suspects. Answers the load of engines that crash at any router's request: news goes to
  * a few random routers, each of which passes on what is new to it, and while there are records each router exchanges all
- * of them with one random router, which reaches those that were cut off or have just started. Without records, nothing
- * is sent.
+ * of them with one random router, which reaches those that were cut off or have just started; seldom once nothing
+ * changes any more. Without records, nothing is sent.
  */
 export function* exchangeSuspects(context: GatewayContext): Task<void> {
   const { board, loop, options } = context;
   const { news, table } = board.quarantine;
-  const { exchangePeriodMs, newsDelayMs, newsFanout } = options.quarantine;
+  const { newsDelayMs, newsFanout } = options.quarantine;
   let nextExchangeAtMs = Infinity;
   while (!board.stopped) {
     const first = yield* receive(news, nextExchangeAtMs);
@@ -35,7 +35,7 @@
         items.flatMap((item) => (item.kind === SuspectNewsKind.Changed ? [item.partId] : [])),
       );
       if (partIds.size > 0) {
-        const reports = table.reports(loop.nowMs(), partIds).slice(0, MAX_REPORTS);
+        const reports = boundReports(table.reports(loop.nowMs(), partIds));
         send(context, { reports, wantsReply: false }, newsFanout);
       }
       if (items.some(({ kind }) => kind === SuspectNewsKind.Resync)) {
@@ -44,15 +44,25 @@
     }
     const nowMs = loop.nowMs();
     if (nowMs >= nextExchangeAtMs) {
-      send(context, { reports: table.reports(nowMs).slice(0, MAX_REPORTS), wantsReply: true }, 1);
+      send(context, { reports: boundReports(table.reports(nowMs)), wantsReply: true }, 1);
       nextExchangeAtMs = Infinity;
     }
-    if (nextExchangeAtMs === Infinity && table.hasRecords(nowMs)) {
-      nextExchangeAtMs = loop.nearestTickMs(exchangePeriodMs);
-    }
+    nextExchangeAtMs = Math.min(nextExchangeAtMs, exchangeDueAtMs(context));
   }
 }
 
+/** Time of the next exchange of all records if nothing is due before; Infinity without records. */
+function exchangeDueAtMs({ board, loop, options }: GatewayContext): number {
+  const { calmExchangePeriodMs, exchangePeriodMs, recentChangeMs } = options.quarantine;
+  const nowMs = loop.nowMs();
+  const changedAtMs = board.quarantine.table.newestChangeAtMs(nowMs);
+  if (changedAtMs === undefined) {
+    return Infinity;
+  }
+  const isRecent = nowMs - changedAtMs < recentChangeMs;
+  return loop.nearestTickMs(isRecent ? exchangePeriodMs : calmExchangePeriodMs);
+}
+
 /** Applies reports of another router, and returns the records that it may lack if it wants them. */
 export function receiveSuspects(
   context: GatewayContext,
@@ -64,7 +74,7 @@
   for (const report of reports) {
     applySuspectChanges(context, table.merge(report, loop.nowMs()), source);
   }
-  return wantsReply ? table.reports(loop.nowMs()).slice(0, MAX_REPORTS) : [];
+  return wantsReply ? boundReports(table.reports(loop.nowMs())) : [];
 }
 
 /** Tells the exchange that this router may have missed news. */
@@ -72,6 +82,12 @@
   loop.push(board.quarantine.news, { kind: SuspectNewsKind.Resync });
 }
 
+/** Keeps quarantined parts if there are more reports than fit into a message. */
+function boundReports(reports: readonly SuspectReport[]): readonly SuspectReport[] {
+  const rank = ({ probation }: SuspectReport): number => (probation === undefined ? 1 : 0);
+  return [...reports].sort((a, b) => rank(a) - rank(b)).slice(0, MAX_REPORTS);
+}
+
 function takeAll({ board }: GatewayContext): SuspectNews[] {
   const { news } = board.quarantine;
   const items: SuspectNews[] = [];
@@ -84,7 +100,7 @@
 function* resync(context: GatewayContext): Task<void> {
   const { board, loop, options } = context;
   for (let attempt = 0; attempt < MAX_RESYNC_ATTEMPTS && !board.stopped; attempt += 1) {
-    const reports = board.quarantine.table.reports(loop.nowMs()).slice(0, MAX_REPORTS);
+    const reports = boundReports(board.quarantine.table.reports(loop.nowMs()));
     const message: SuspectMessage = { reports, wantsReply: true };
     const replies = choosePeers(context, RESYNC_PEERS).map((peer) => exchange(context, peer, message));
     const replied = yield* loop.settled(Promise.all(replies));
--- a/packages/gateway/src/quarantine/options.ts
+++ b/packages/gateway/src/quarantine/options.ts
@@ -19,8 +19,11 @@
   readonly newsDelayMs: number;
   /** Number of routers that each router passes news on to. */
   readonly newsFanout: number;
-  /** Period of exchanging all records with one other router, while there are any. */
+  /** Period of exchanging all records with one other router, while any has changed within `recentChangeMs`. */
   readonly exchangePeriodMs: number;
+  readonly recentChangeMs: number;
+  /** The same while there are records and none has changed recently. */
+  readonly calmExchangePeriodMs: number;
 }
 
 export const DEFAULT_QUARANTINE: QuarantineOptions = {
@@ -36,4 +39,6 @@
   newsDelayMs: 20,
   newsFanout: 4,
   exchangePeriodMs: 500,
+  recentChangeMs: 10_000,
+  calmExchangePeriodMs: 5_000,
 };
--- a/packages/gateway/src/quarantine/suspectTable.ts
+++ b/packages/gateway/src/quarantine/suspectTable.ts
@@ -186,10 +186,12 @@
     });
   }
 
-  /** True while there is something that other routers may not know. */
-  hasRecords(nowMs: number): boolean {
+  /** Time of the newest change of a record; undefined without records. */
+  newestChangeAtMs(nowMs: number): number | undefined {
     this.removeExpired(nowMs);
-    return this.records.size > 0;
+    return this.records.size === 0
+      ? undefined
+      : Math.max(...[...this.records.values()].map(({ changedAtMs }) => changedAtMs));
   }
 
   isQuarantined(partId: string): boolean {
