Probe a quarantined part at once that was beside another one in all of its crashes

Change: if all crashes of a quarantined part are also those of another one, its first probe is due at once, for a request without the other part. An answer releases it; if it was the cause, that costs one engine of the three that are allowed.

--- a/packages/gateway/src/quarantine/__tests__/suspectTable.test.ts
+++ b/packages/gateway/src/quarantine/__tests__/suspectTable.test.ts
@@ -187,3 +187,31 @@
   assert.ok(table.reports(START_MS + 2_000).length <= 256);
   assert.equal(table.isQuarantined('subject'), true);
 });
+
+test('a part that was beside the cause in all of its crashes is probed at once by a request without the cause', () => {
+  const table = createTable();
+  crashEngines(table, ['cause', 'bystander'], 3);
+  table.recordCrash('engine-x', ['cause', 'second'], START_MS + 400);
+  table.recordCrash('engine-y', ['cause', 'third'], START_MS + 500);
+  const nowMs = START_MS + 600;
+  assert.equal(table.check(['cause', 'bystander'], nowMs).kind, 'withheld');
+  assert.deepEqual(table.check(['preamble', 'bystander'], nowMs), { kind: 'probe-due', partId: 'bystander' });
+  table.startProbe('bystander', nowMs);
+  table.recordStart(['preamble', 'bystander'], nowMs + 300, nowMs + 500);
+  assert.deepEqual(table.check(['preamble', 'bystander'], nowMs + 600), { kind: 'allowed' });
+  assert.equal(table.check(['cause', 'other'], nowMs + 600).kind, 'withheld');
+});
+
+test('of two parts with the same crashes, the cause is withheld again after one more', () => {
+  const table = createTable();
+  for (let index = 0; index < 3; index += 1) {
+    table.recordCrash(`engine-${index}`, ['cause'], START_MS + index);
+    table.recordCrash(`engine-${index}`, ['bystander'], START_MS + index);
+  }
+  const nowMs = START_MS + 100;
+  const probe = table.startProbe('cause', nowMs);
+  table.recordCrash('engine-x', ['cause'], nowMs + 300);
+  table.endProbe(probe, nowMs + 310);
+  assert.equal(table.check(['cause'], nowMs + quarantineMs).kind, 'withheld');
+  assert.equal(table.check(['bystander'], nowMs + 400).kind, 'probe-due');
+});
--- a/packages/gateway/src/quarantine/suspectTable.ts
+++ b/packages/gateway/src/quarantine/suspectTable.ts
@@ -256,7 +256,8 @@
     if (!changed) {
       return [];
     }
-    return [this.judge(partId, nowMs) ?? { partId, change: PartChange.Updated }];
+    const judged = this.judge(partId, nowMs);
+    return judged.length > 0 ? judged : [{ partId, change: PartChange.Updated }];
   }
 
   /** Returns false if the crash was known. */
@@ -281,18 +282,48 @@
   }
 
   /** Quarantines a part if enough crashes count against it. */
-  private judge(partId: string, nowMs: number): SuspectChange | undefined {
+  private judge(partId: string, nowMs: number): SuspectChange[] {
     const { crashThreshold, retryThreshold } = this.options;
     const record = this.records.get(partId);
     if (record === undefined || record.probation !== undefined || record.crashes.size < crashThreshold) {
-      return undefined;
+      return [];
     }
     if (this.unexplainedCrashes(partId) < retryThreshold) {
-      return undefined;
+      return [];
     }
     record.probation = { revision: 1, probes: 0, dueAtMs: nowMs + this.quarantineMs(0) };
     record.changedAtMs = nowMs;
-    return { partId, change: PartChange.Quarantined };
+    return [{ partId, change: PartChange.Quarantined }, ...this.doubtExplained(partId, record, nowMs)];
+  }
+
+  /**
+   * Lets a probe of a quarantined part follow at once if all of its crashes are also those of another quarantined part,
+   * which was likely the cause of them. A request that holds both stays withheld.
+   */
+  private doubtExplained(partId: string, record: SuspectRecord, nowMs: number): SuspectChange[] {
+    const doubted = new Set<string>();
+    for (const [otherPartId, other] of this.records) {
+      if (otherPartId !== partId && other.probation !== undefined) {
+        if (isSubset(other.crashes, record.crashes)) {
+          doubted.add(otherPartId);
+        }
+        if (isSubset(record.crashes, other.crashes)) {
+          doubted.add(partId);
+        }
+      }
+    }
+    return [...doubted].flatMap((doubtedPartId) => this.hastenProbe(doubtedPartId, nowMs));
+  }
+
+  private hastenProbe(partId: string, nowMs: number): SuspectChange[] {
+    const record = this.records.get(partId);
+    if (record?.probation?.probes !== 0) {
+      return [];
+    }
+    const { revision, probes } = record.probation;
+    record.probation = { revision: revision + 1, probes, dueAtMs: nowMs };
+    record.changedAtMs = nowMs;
+    return [{ partId, change: PartChange.Updated }];
   }
 
   /** Crashes that count against a part, without those that the likeliest deeper part explains. */
@@ -341,7 +372,7 @@
   private judgeExplainedBy(deeperPartId: string, nowMs: number): SuspectChange[] {
     return [...this.records].flatMap(([partId, { crashes }]) =>
       [...crashes.values()].some(({ deeperPartIds }) => deeperPartIds.has(deeperPartId))
-        ? (this.judge(partId, nowMs) ?? [])
+        ? this.judge(partId, nowMs)
         : [],
     );
   }
@@ -431,6 +462,10 @@
   };
 }
 
+function isSubset(crashes: ReadonlyMap<string, Crash>, others: ReadonlyMap<string, Crash>): boolean {
+  return [...crashes.keys()].every((engineKey) => others.has(engineKey));
+}
+
 function deleteOldest(map: Map<string, unknown>): void {
   for (const key of map.keys()) {
     map.delete(key);
