--- a/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
+++ b/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
@@ -164,3 +164,19 @@
   assert.equal(sockets.length, 2);
   connections.removeUpstream(upstream.upstreamId);
 });
+
+test('only a response whose connection alone shows its end is reported as ending with it', async () => {
+  const endsWithConnection = async (response: string): Promise<boolean | undefined> => {
+    const upstream = await startUpstream((socket) => {
+      socket.end(response);
+    });
+    const end = (await exchange(upstream)).find(({ kind }) => kind === RequestEventKind.UpstreamEnd);
+    return end?.kind === RequestEventKind.UpstreamEnd ? end.endsWithConnection : undefined;
+  };
+  assert.equal(await endsWithConnection(`${CLOSE_DELIMITED_HEAD}answer`), true);
+  assert.equal(await endsWithConnection('HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer'), false);
+  const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n';
+  assert.equal(await endsWithConnection(chunked), false);
+  // No body: asking whether the upstream still listens would cost a connection for nothing.
+  assert.equal(await endsWithConnection('HTTP/1.1 204 No Content\r\n\r\n'), false);
+});
--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -30,6 +30,9 @@
 /** Bytes of a discarded body that are read so that its connection can be reused; more costs more than a connection. */
 const MAX_DISCARDED_BYTES = 65_536;
 
+/** Statuses of responses that end with their head. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** Time within which a discarded body must end; until then its connection serves no other request. */
 const DISCARD_TIMEOUT_MS = 1_000;
 
@@ -273,7 +276,8 @@
       typeof part === 'string' ? part : part.toString('latin1'),
     );
     const framing = readFraming(headers);
-    this.isCloseDelimited = framing.isCloseDelimited;
+    const hasBody = !BODILESS_STATUSES.has(status) && this.request.head.method !== 'HEAD';
+    this.isCloseDelimited = hasBody && framing.isCloseDelimited;
     const head = this.codec.decodeUpstreamHead(this.request, status, headers);
     const { bodyBytes } = framing;
     this.report({ kind: RequestEventKind.UpstreamHead, attempt: this.attempt, head, bodyBytes });
--- a/packages/gateway/src/quarantine/storeQuarantine.ts
+++ b/packages/gateway/src/quarantine/storeQuarantine.ts
@@ -3,7 +3,7 @@
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
 import { applySuspectChanges } from './applySuspectChanges.ts';
-import type { QuarantineStore } from './types.ts';
+import type { QuarantineStore, SuspectReport } from './types.ts';
 
 /** Routers that store a change; a second one, since the first may have just ended. */
 const WRITERS_PER_PART = 2;
@@ -16,10 +16,22 @@
   const reports = yield* loop.settled(store.read());
   log(LogLevel.Info, 'quarantined parts read from the store', { count: reports?.length });
   for (const report of reports ?? []) {
-    applySuspectChanges(context, board.quarantine.table.merge(report, loop.nowMs()), 'store');
+    if (isOutdated(context, report)) {
+      const isRemoved = yield* loop.settled(store.remove(report.partId));
+      log(LogLevel.Info, 'outdated row of a quarantined part', { partId: report.partId, isRemoved });
+    } else {
+      applySuspectChanges(context, board.quarantine.table.merge(report, loop.nowMs()), 'store');
+    }
   }
 }
 
+/** Whether no router can hold the quarantine any more, since its last probe was due long ago. */
+function isOutdated({ options }: GatewayContext, { crashes }: SuspectReport): boolean {
+  const { crashRetentionMs, quarantineMaxMs } = options.quarantine;
+  const youngestMs = Math.min(...Object.values(crashes).map(({ ageMs }) => ageMs));
+  return youngestMs > quarantineMaxMs + crashRetentionMs;
+}
+
 /** Stores each change of a quarantine. All routers learn of it; two of them, chosen by its part, write it. */
 export function* storeQuarantine(context: GatewayContext, store: QuarantineStore): Task<void> {
   const { board, log, loop, self } = context;
--- a/packages/gateway/src/quarantine/suspectTable.ts
+++ b/packages/gateway/src/quarantine/suspectTable.ts
@@ -6,6 +6,8 @@
 const MAX_RECORDS = 256;
 /** Crashes kept for one part; more than any threshold. */
 const MAX_CRASHES_PER_PART = 8;
+/** Deeper parts kept for one crash; a request has few of them. */
+const MAX_DEEPER_PARTS = 8;
 /** Parts whose newest start is remembered. */
 const MAX_STARTS = 2_048;
 /** Time for which a cleared record is kept, so that reports that are still on their way do not bring it back. */
@@ -64,9 +66,6 @@
   return parts.slice(0, -1).map(({ partId }) => partId);
 }
 
-/** Deeper parts kept for one crash; a request has few of them. */
-const MAX_DEEPER_PARTS = 8;
-
 /**
  * Decides which parts of prompts crash engines. Answers the load of requests with one such part among sound ones that
  * share their caller and their other parts, beside engines that end for other reasons: a crash counts against the parts
@@ -109,6 +108,7 @@
     return Math.max(0, ...partIds.map((partId) => this.unexplainedCrashes(partId)));
   }
 
+  /** Tells whether a request with these shared parts may be sent. */
   check(partIds: readonly string[], nowMs: number): PartVerdict {
     let due: PartVerdict = { kind: 'allowed' };
     for (const partId of partIds) {
@@ -198,6 +198,7 @@
     return this.records.get(partId)?.probation !== undefined;
   }
 
+  /** Number of parts whose requests are withheld. */
   get quarantinedCount(): number {
     return [...this.records.values()].filter(({ probation }) => probation !== undefined).length;
   }
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -1,21 +1,21 @@
 import type { AttemptRecord, Task } from '@pimentostall/core';
 import { AttemptState, receive } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
+import { LogLevel } from '../observability/log.ts';
+import type { Placement } from '../placement/chooseUpstream.ts';
 import { recordLeaving } from '../placement/recordLeaving.ts';
 import { recordRetryAfter } from '../placement/recordRetryAfter.ts';
-import type { Placement } from '../placement/chooseUpstream.ts';
-import { LogLevel } from '../observability/log.ts';
 import { RouteKind } from '../types.ts';
 import type { AttemptOutcome, AttemptProgress, AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd, endPrefill, recordProgress } from './attemptProgress.ts';
 import { checkTimeouts, MAX_HELD_RESPONSE_BYTES, nextTimeoutAtMs } from './attemptTimeouts.ts';
-import { hasCrashed, recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
 import { ByteCollector } from './byteCollector.ts';
 import { EventSplitter } from './eventSplitter.ts';
 import type { RequestEvent, UpstreamResponseHead } from './ports.ts';
 import { RequestEventKind, UpstreamFailure } from './ports.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
+import { hasCrashed, recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
 
 /** Status of a response on a streaming route whose body is an event stream. */
 const EVENT_STREAM_STATUS = 200;
