--- a/packages/gateway/src/quarantine/applySuspectChanges.ts
+++ b/packages/gateway/src/quarantine/applySuspectChanges.ts
@@ -35,7 +35,10 @@
         loop.push(unstored, partId);
         break;
       case PartChange.Updated:
-        log(LogLevel.Debug, 'crash record of a prompt part changed', describe(context, partId, source));
+        if (source === undefined) {
+          // A crash counts against many parts, each of which every router learns of.
+          log(LogLevel.Debug, 'crash record of a prompt part changed', describe(context, partId, source));
+        }
         if (table.isQuarantined(partId)) {
           loop.push(unstored, partId);
         }
