--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -180,14 +180,19 @@
       born: Math.round(now()),
     };
     this.store.put('servers', id, engine.entry);
+    this.#startBeats(engine);
+    this.engines.push(engine);
+    this.log(`${id} of ${service} listens at ${engine.address}`);
+    return engine;
+  }
+
+  #startBeats(engine) {
+    clearInterval(engine.beat);
     engine.beat = setInterval(() => {
       engine.entry = { ...engine.entry, sequence: engine.entry.sequence + 1 };
-      this.store.put('servers', id, engine.entry);
+      this.store.put('servers', engine.id, engine.entry);
     }, HEARTBEAT_MS);
     this.#timers.push(engine.beat);
-    this.engines.push(engine);
-    this.log(`${id} of ${service} listens at ${engine.address}`);
-    return engine;
   }
 
   /** The engine reports that it is draining; the store has accepted it when this returns. */
@@ -196,9 +201,25 @@
     engine.child.send('leave');
     this.store.put('servers', engine.id, engine.entry);
     engine.leftAtMs = now();
+    this.#startBeats(engine);
     this.log(`the store has accepted that ${engine.id} is draining`);
   }
 
+  /** The next heartbeat of an engine gets no answer, and the store performs it later. */
+  writeLate(engine, delayMs) {
+    engine.entry = { ...engine.entry, sequence: engine.entry.sequence + 1 };
+    const { entry } = engine;
+    this.log(`${engine.id} writes sequence ${entry.sequence}, ${entry.state}; the store doesn't answer`);
+    this.#timers.push(
+      setTimeout(() => {
+        this.log(
+          `the store performs the write of ${engine.id} with sequence ${entry.sequence}, ${entry.state}`,
+        );
+        this.store.put('servers', engine.id, entry);
+      }, delayMs),
+    );
+  }
+
   /** Ends an engine's process; its entry goes after three heartbeats, or at once if it has left as planned. */
   kill(engine, removesEntry) {
     clearInterval(engine.beat);
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -4,6 +4,8 @@
 const rowId = (ref) => JSON.stringify([ref['table-name'], ref.part, ref.key]);
 
 export class Store {
+  /** Returns the fault of a call: `busy`, `reset`, `silent`, `lost`, `late` (with its delay in ms) or nothing. */
+  fault = () => undefined;
   rows = new Map();
   history = [];
   version = 0;
@@ -58,6 +60,23 @@
     }
     const url = new URL(request.url, 'http://store');
     const query = url.searchParams;
+    const { kind, delayMs } = this.fault(url.pathname, request) ?? {};
+    switch (kind) {
+      case 'busy':
+        return this.#reply(response, 503, {});
+      case 'reset':
+        return request.socket.resetAndDestroy();
+      case 'silent':
+        return undefined;
+      case 'lost':
+      case 'late':
+        // The call is done, at once or later, and its response never arrives.
+        if (url.pathname === '/api/rows-tx') {
+          const body = JSON.parse(Buffer.concat(chunks).toString('utf8'));
+          setTimeout(() => this.#transact(undefined, body), delayMs ?? 0);
+        }
+        return undefined;
+    }
     switch (url.pathname) {
       case '/api/rows-tx':
         return this.#transact(response, JSON.parse(Buffer.concat(chunks).toString('utf8')));
@@ -126,7 +145,7 @@
   }
 
   #reply(response, status, fields) {
-    if (response.destroyed || response.writableEnded) {
+    if (response === undefined || response.destroyed || response.writableEnded) {
       return;
     }
     const body = JSON.stringify({
