--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,35 +1,39 @@
+import { connect } from 'node:net';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { attemptId, pieces, runCase, send, sleep } from '../lib/fleet.mjs';
+import { attemptId, now, runCase, sleep } from '../lib/fleet.mjs';
+import { startProxy } from '../lib/proxy.mjs';
 
 const FOLDER = path.dirname(fileURLToPath(import.meta.url));
 const HOST = 'desk.example';
 const KEY = 'n2ctnfzs989anu6wsjnb';
-/** Pieces of each stream, and the pause between them: within the sheet's 80 pieces and 250 ms. */
-const EVENTS = 30;
-const GAP_MS = 150;
-/** Each so many streams of an affected engine have no length: 0.05 of its answers. */
-const UNFRAMED_EVERY = 20;
-/** Time from the engine's notice to its end, as the default of scale_in spot. */
-const SPOT_MS = 2_000;
-const REQUEST_PAUSE_MS = 30;
-const PROMPTS = 24;
+/** One way between clients and machines of the other region: 3 ms to clients and 8 ms between regions. */
+const CLIENT_DELAY_MS = 11;
+/** The site's freezes last 4.0 s. */
+const FREEZE_MS = 3_500;
+const DEADLINE_MS = 4_000;
+/** A client opens its connection this long before its first request; `header-timeout-ms` allows 3,000. */
+const OPENED_AHEAD_MS = 500;
+const CLIENT_PAUSE_MS = 50;
+const CLIENTS = 60;
+const FREEZE_AFTER_CLIENTS = 30;
+/** Statuses with which a router promises that the request hasn't run and never will. */
+const PROMISES = [408, 421, 429, 503];
 
 const configuration = {
   version: 3,
   routes: [
     {
-      name: 'verso',
+      name: 'pulir',
       hostname: HOST,
       prefix: '/stream/',
       'route-kind': 'streaming',
-      'stream-resume': true,
       service: 'pluma',
-      'timeout-ms': 10_000,
-      'target-latency-ms': 600,
+      'timeout-ms': DEADLINE_MS,
+      'target-latency-ms': 1_200,
       'target-gap-ms': 250,
-      'max-attempts': 2,
-      priority: 0,
+      'max-attempts': 1,
+      priority: 1,
       'session-affinity': true,
     },
   ],
@@ -49,71 +53,109 @@
   },
 };
 
-function startStream(fleet, index) {
+/** Opens a connection, sends one request on it, reads the response and closes the connection. */
+async function ask(fleet, router, aheadMs) {
   const request = attemptId();
-  const router = fleet.routers[index % fleet.routers.length];
-  fleet.log(`client: sends ${request} to ${router.name}`);
-  return send({
-    address: router.address,
-    path: '/stream/letter',
-    headers: {
-      Host: HOST,
-      'X-Attempt-Id': request,
-      'X-Deadline-Ms': '10000',
-      'X-Api-Key': KEY,
-      'X-Model': 'm',
-      'X-Token-Usage': '1460,480',
-      'X-Prompt-Prefix': `5c1e${(index % PROMPTS).toString(16).padStart(4, '0')}:800,${request}:660`,
-    },
-    body: 'x'.repeat(1_460),
-  }).then((answer) => {
-    const ids = pieces(answer.body);
-    fleet.log(
-      `client: ${request} ended with status ${answer.status}, ` +
-        `${answer.complete ? 'complete' : `broken off (${answer.failure})`}, pieces ${ids[0]} to ${ids.at(-1)} of ${EVENTS}`,
-    );
-    return { request, ...answer, ids };
+  const [host, port] = router.proxy.address.split(':');
+  const socket = connect({ host, port: Number(port), noDelay: true });
+  let text = '';
+  const ended = new Promise((resolve) => {
+    socket.on('data', (data) => {
+      text += data.toString('latin1');
+      if (isComplete(text)) {
+        resolve();
+      }
+    });
+    socket.on('error', resolve);
+    socket.on('close', resolve);
+  });
+  await new Promise((resolve) => {
+    socket.once('connect', resolve);
+    socket.once('error', resolve);
   });
+  await sleep(aheadMs);
+  const body = 'x'.repeat(460);
+  fleet.log(`client: sends ${request} to ${router.name}`);
+  socket.write(
+    [
+      'POST /stream/letter HTTP/1.1',
+      `Host: ${HOST}`,
+      `X-Attempt-Id: ${request}`,
+      `X-Deadline-Ms: ${DEADLINE_MS}`,
+      `X-Api-Key: ${KEY}`,
+      'X-Model: m',
+      'X-Token-Usage: 460,60',
+      `X-Prompt-Prefix: 5c1e07a2:300,${request}:160`,
+      `Content-Length: ${body.length}`,
+      '',
+      body,
+    ].join('\r\n'),
+  );
+  await Promise.race([ended, sleep(DEADLINE_MS)]);
+  socket.destroy();
+  const status = Number(/^HTTP\/1\.1 (\d{3})/.exec(text)?.[1] ?? 0);
+  fleet.log(
+    `client: ${request} got ${status === 0 ? 'no answer' : `status ${status}`}, and closes its connection`,
+  );
+  return { request, status, router: router.name, endedAtMs: now() };
+}
+
+/** Whether the text holds a whole response, by its length or its last chunk. */
+function isComplete(text) {
+  const head = text.indexOf('\r\n\r\n');
+  if (head < 0) {
+    return false;
+  }
+  const length = /\r\ncontent-length: (\d+)/i.exec(text.slice(0, head))?.[1];
+  return length === undefined ? text.endsWith('\r\n0\r\n\r\n') : text.length >= head + 4 + Number(length);
 }
 
 await runCase(FOLDER, async (fleet, trouble) => {
-  const behaviour = { service: 'pluma', events: EVENTS, gapMs: GAP_MS };
   await fleet.start({
     routers: 3,
     configuration,
-    // Half of the engines send some answers without a length.
-    engines: [1, 2, 3, 4].map((index) => ({
-      id: `i-${index}`,
-      ...behaviour,
-      ...(index <= 2 ? { unframedEvery: UNFRAMED_EVERY } : {}),
-    })),
+    engines: [1, 2, 3].map((index) => ({ id: `i-${index}`, service: 'pluma', events: 8, gapMs: 60 })),
   });
-  const streams = [];
-  const firstUnframed = () => fleet.told.find(({ kind, unframed }) => kind === 'ran' && unframed);
-  while (firstUnframed() === undefined && streams.length < 400) {
-    streams.push(startStream(fleet, streams.length));
-    await sleep(REQUEST_PAUSE_MS);
+  for (const router of fleet.routers) {
+    router.proxy = await startProxy('127.0.0.1', router.address, CLIENT_DELAY_MS);
   }
-  const seen = firstUnframed();
-  if (seen === undefined) {
-    throw new Error('no engine sent an answer without a length');
+  const [frozen, ...others] = fleet.routers;
+  const clients = [];
+  for (let index = 0; index < CLIENTS; index += 1) {
+    if (trouble && index === FREEZE_AFTER_CLIENTS) {
+      fleet.log(`${frozen.name} freezes for ${FREEZE_MS} ms`);
+      frozen.child.kill('SIGSTOP');
+      setTimeout(() => {
+        fleet.log(`${frozen.name} wakes`);
+        frozen.child.kill('SIGCONT');
+      }, FREEZE_MS);
+    }
+    const router = fleet.routers[index % fleet.routers.length];
+    clients.push(
+      ask(fleet, router, OPENED_AHEAD_MS).then(async (first) => {
+        // After a promise, a client sends the request once more, to another machine.
+        const again = PROMISES.includes(first.status) ? await ask(fleet, others[0], 0) : undefined;
+        return { ...first, again };
+      }),
+    );
+    await sleep(CLIENT_PAUSE_MS);
   }
-  if (trouble) {
-    const leaving = fleet.engines.find(({ id }) => id === seen.engine);
-    fleet.drain(leaving);
-    await sleep(SPOT_MS);
-    fleet.log(`${leaving.id} is gone, ${SPOT_MS} ms after the notice`);
-    fleet.kill(leaving, true);
+  const answers = await Promise.all(clients);
+  await sleep(500);
+  for (const { proxy } of fleet.routers) {
+    proxy.close();
   }
-  const answers = await Promise.all(streams);
-  const expected = Array.from({ length: EVENTS }, (_, index) => index + 1).join();
+  const hasRun = (request) =>
+    fleet.told.some((message) => message.kind === 'ran' && message.request === request);
+  const statuses = answers.map(({ status }) => status);
   fleet.log(
-    `${answers.filter(({ ids }) => ids.join() === expected).length} of ${answers.length} streams are whole`,
+    `statuses of the first requests: ${[...new Set(statuses)].map((s) => `${s}: ${statuses.filter((t) => t === s).length}`).join(', ')}`,
   );
   return answers
-    .filter(({ status, complete, ids }) => status === 200 && complete && ids.join() !== expected)
-    .map(
-      ({ request, ids }) =>
-        `ORDER: the stream of ${request} ended as complete after piece ${ids.at(-1) ?? 0} of ${EVENTS}`,
-    );
+    .filter(({ request, status }) => PROMISES.includes(status) && hasRun(request))
+    .map(({ request, status, router, again }) => {
+      const repeat =
+        again !== undefined && hasRun(again.request) ? `; the client's retry ${again.request} ran too` : '';
+      return `REFUSED: ${router} answered ${request} with ${status}, and an engine ran it${repeat}`;
+    });
 });
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -59,14 +59,14 @@
     this.#record.write(`${((now() - this.startedAtMs) / 1_000).toFixed(3).padStart(8)} s  ${text}\n`);
   }
 
-  async start({ routers, configuration, engines, routerEnds }) {
+  async start({ routers, configuration, engines }) {
     this.storeAddress = await this.store.listen('127.0.0.1');
     this.store.put('op', 'config', configuration);
     for (const engine of engines) {
       await this.startEngine(engine);
     }
     for (let index = 1; index <= routers; index += 1) {
-      this.routers.push(await this.startRouter(index, routerEnds));
+      this.routers.push(await this.startRouter(index));
     }
     const limitMs = now() + 20_000;
     for (const router of this.routers) {
@@ -83,10 +83,16 @@
   }
 
   async startRouter(index) {
+    // A loopback address of its own, since the metrics port of the template is fixed.
     const host = `127.${10 + (process.pid % 200)}.${Math.floor(process.pid / 200) % 250}.${index}`;
     const name = `edge-a-${index}`;
-    const ports = { frontend: 8227, ready: 8220, 'control-plane': 8229, directory: 8224 };
-    const listen = Object.fromEntries(Object.entries(ports).map(([key, port]) => [key, `${host}:${port}`]));
+    const [frontend, ready, controlPlane, directory, internal] = await freePorts(host, 5);
+    const listen = {
+      frontend: `${host}:${frontend}`,
+      ready: `${host}:${ready}`,
+      'control-plane': `${host}:${controlPlane}`,
+      directory: `${host}:${directory}`,
+    };
     const settings = {
       'node-name': name,
       region: 'r',
@@ -94,7 +100,7 @@
       zones: { a: 'r' },
       ip: host,
       listen,
-      'internal-ports': [7_340, 7_355],
+      'internal-ports': [internal, internal],
       platform: { address: this.storeAddress, 'writes-per-s': 800, 'reads-per-s': 2_000 },
       bounds: BOUNDS,
     };
@@ -361,11 +367,11 @@
   });
 }
 
-/** A free port of a loopback address. */
-export async function freePort(host) {
-  const server = createServer();
-  await new Promise((resolve) => server.listen(0, host, resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+/** Returns ports of a loopback address that are free now. */
+async function freePorts(host, count) {
+  const servers = Array.from({ length: count }, () => createServer());
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.listen(0, host, resolve))));
+  const ports = servers.map((server) => server.address().port);
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
 }
