Review: show that a stream whose engine has restarted ends as complete

Cause: after the orderly end of a response without a length, an open port at the engine's address counts as proof that the engine has not crashed.

Case: review/4, a script. A router freezes for 3.5 s; in this time an engine that sends such a stream crashes and starts again at its address.

The case of the late heartbeat is now review/5.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec node "$(dirname "$0")/case.mjs"
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -2,7 +2,7 @@
 // tells its parent what arrived, what it ran and what it finished.
 import { createServer } from 'node:http';
 
-const { id, host, slots, events, gapMs, unframedEvery, workMs = 20 } = JSON.parse(process.argv[2]);
+const { id, host, port = 0, slots, events, gapMs, unframedEvery, workMs = 20 } = JSON.parse(process.argv[2]);
 let leaving = false;
 let active = 0;
 let streamCount = 0;
@@ -132,4 +132,4 @@
 });
 process.on('disconnect', () => process.exit(0));
 server.keepAliveTimeout = 5_000;
-server.listen(0, host, () => process.send?.({ kind: 'listening', port: server.address().port }));
+server.listen(port, host, () => process.send?.({ kind: 'listening', port: server.address().port }));
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -233,10 +233,22 @@
     if (removesEntry) {
       this.store.put('servers', engine.id, undefined);
     } else {
-      this.#timers.push(setTimeout(() => this.store.put('servers', engine.id, undefined), 3 * HEARTBEAT_MS));
+      engine.lapse = setTimeout(() => this.store.put('servers', engine.id, undefined), 3 * HEARTBEAT_MS);
+      this.#timers.push(engine.lapse);
     }
   }
 
+  /** Starts an engine again after its end: under its id, at its address, as a new incarnation. */
+  async restart(engine, behaviour) {
+    clearTimeout(engine.lapse);
+    while (!engine.exited) {
+      await sleep(5);
+    }
+    const port = Number(engine.address.split(':')[1]);
+    this.engines = this.engines.filter((other) => other !== engine);
+    return this.startEngine({ id: engine.id, service: engine.entry.service, port, ...behaviour });
+  }
+
   async finish() {
     for (const timer of this.#timers) {
       clearTimeout(timer);
