--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,7 +1,7 @@
 import { connect } from 'node:net';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { attemptId, now, runCase, sleep } from '../lib/fleet.mjs';
+import { attemptId, runCase, sleep } from '../lib/fleet.mjs';
 import { startProxy } from '../lib/proxy.mjs';
 
 const FOLDER = path.dirname(fileURLToPath(import.meta.url));
@@ -10,13 +10,13 @@
 /** One way between clients and machines of the other region: 3 ms to clients and 8 ms between regions. */
 const CLIENT_DELAY_MS = 11;
 /** The site's freezes last 4.0 s. */
-const FREEZE_MS = 3_500;
-const DEADLINE_MS = 4_000;
+const FREEZE_MS = 700;
+const FREEZE_PAUSE_MS = 1_200;
+const DEADLINE_MS = 800;
+const WORK_MS = 20;
 /** A client opens its connection this long before its first request; `header-timeout-ms` allows 3,000. */
-const OPENED_AHEAD_MS = 500;
-const CLIENT_PAUSE_MS = 50;
-const CLIENTS = 60;
-const FREEZE_AFTER_CLIENTS = 30;
+const OPENED_AHEAD_MS = 2_700;
+const CLIENT_PAUSE_MS = 40;
 /** Statuses with which a router promises that the request hasn't run and never will. */
 const PROMISES = [408, 421, 429, 503];
 
@@ -24,26 +24,18 @@
   version: 3,
   routes: [
     {
-      name: 'pulir',
+      name: 'cobro',
       hostname: HOST,
-      prefix: '/stream/',
-      'route-kind': 'streaming',
-      service: 'pluma',
+      prefix: '/pay/',
+      'route-kind': 'unsafe',
+      service: 'mostrador',
       'timeout-ms': DEADLINE_MS,
-      'target-latency-ms': 1_200,
-      'target-gap-ms': 250,
+      'target-latency-ms': 120,
       'max-attempts': 1,
-      priority: 1,
-      'session-affinity': true,
-    },
-  ],
-  services: [
-    {
-      name: 'pluma',
-      'max-connections': 370,
-      backend: { slots: 64, 'kv-capacity': 500_000, stride: 6, most: 8 },
+      priority: 2,
     },
   ],
+  services: [{ name: 'mostrador', 'max-connections': 110 }],
   tenants: [{ name: 'hule930', 'api-keys': [KEY], reserved: 100_000_000 }],
   limits: {
     'max-header-bytes': 16_384,
@@ -74,18 +66,15 @@
     socket.once('error', resolve);
   });
   await sleep(aheadMs);
-  const body = 'x'.repeat(460);
+  const body = 'x'.repeat(600);
   fleet.log(`client: sends ${request} to ${router.name}`);
   socket.write(
     [
-      'POST /stream/letter HTTP/1.1',
+      'POST /pay/order HTTP/1.1',
       `Host: ${HOST}`,
       `X-Attempt-Id: ${request}`,
       `X-Deadline-Ms: ${DEADLINE_MS}`,
       `X-Api-Key: ${KEY}`,
-      'X-Model: m',
-      'X-Token-Usage: 460,60',
-      `X-Prompt-Prefix: 5c1e07a2:300,${request}:160`,
       `Content-Length: ${body.length}`,
       '',
       body,
@@ -94,68 +83,84 @@
   await Promise.race([ended, sleep(DEADLINE_MS)]);
   socket.destroy();
   const status = Number(/^HTTP\/1\.1 (\d{3})/.exec(text)?.[1] ?? 0);
-  fleet.log(
-    `client: ${request} got ${status === 0 ? 'no answer' : `status ${status}`}, and closes its connection`,
-  );
-  return { request, status, router: router.name, endedAtMs: now() };
+  const answer = status === 0 ? 'no answer' : `status ${status}`;
+  fleet.log(`client: ${request} got ${answer}, and closes its connection`);
+  return { request, status, router: router.name };
 }
 
-/** Whether the text holds a whole response, by its length or its last chunk. */
+/** Whether the text holds a whole response with a length. */
 function isComplete(text) {
   const head = text.indexOf('\r\n\r\n');
-  if (head < 0) {
-    return false;
-  }
-  const length = /\r\ncontent-length: (\d+)/i.exec(text.slice(0, head))?.[1];
-  return length === undefined ? text.endsWith('\r\n0\r\n\r\n') : text.length >= head + 4 + Number(length);
+  const length = /\r\ncontent-length: (\d+)/i.exec(text.slice(0, Math.max(0, head)))?.[1];
+  return head >= 0 && length !== undefined && text.length >= head + 4 + Number(length);
 }
 
 await runCase(FOLDER, async (fleet, trouble) => {
   await fleet.start({
     routers: 3,
     configuration,
-    engines: [1, 2, 3].map((index) => ({ id: `i-${index}`, service: 'pluma', events: 8, gapMs: 60 })),
+    engines: [1, 2, 3].map((index) => ({
+      id: `i-${index}`,
+      service: 'mostrador',
+      slots: 6,
+      workMs: WORK_MS,
+    })),
   });
   for (const router of fleet.routers) {
     router.proxy = await startProxy('127.0.0.1', router.address, CLIENT_DELAY_MS);
   }
-  const [frozen, ...others] = fleet.routers;
   const clients = [];
-  for (let index = 0; index < CLIENTS; index += 1) {
-    if (trouble && index === FREEZE_AFTER_CLIENTS) {
-      fleet.log(`${frozen.name} freezes for ${FREEZE_MS} ms`);
-      frozen.child.kill('SIGSTOP');
-      setTimeout(() => {
-        fleet.log(`${frozen.name} wakes`);
-        frozen.child.kill('SIGCONT');
-      }, FREEZE_MS);
+  let ended = false;
+  const arrivals = (async () => {
+    for (let index = 0; !ended; index += 1) {
+      const router = fleet.routers[index % fleet.routers.length];
+      const other = fleet.routers[(index + 1) % fleet.routers.length];
+      clients.push(
+        ask(fleet, router, OPENED_AHEAD_MS).then(async (first) => {
+          // After a promise, a client sends the request once more, to another machine.
+          const again = PROMISES.includes(first.status) ? await ask(fleet, other, 0) : undefined;
+          return { ...first, again };
+        }),
+      );
+      await sleep(CLIENT_PAUSE_MS);
+    }
+  })();
+  await sleep(OPENED_AHEAD_MS + 1_000);
+  // One machine at a time, each once.
+  for (const router of fleet.routers) {
+    if (trouble) {
+      fleet.log(`${router.name} freezes for ${FREEZE_MS} ms`);
+      router.child.kill('SIGSTOP');
+    }
+    await sleep(FREEZE_MS);
+    if (trouble) {
+      fleet.log(`${router.name} wakes`);
+      router.child.kill('SIGCONT');
     }
-    const router = fleet.routers[index % fleet.routers.length];
-    clients.push(
-      ask(fleet, router, OPENED_AHEAD_MS).then(async (first) => {
-        // After a promise, a client sends the request once more, to another machine.
-        const again = PROMISES.includes(first.status) ? await ask(fleet, others[0], 0) : undefined;
-        return { ...first, again };
-      }),
-    );
-    await sleep(CLIENT_PAUSE_MS);
+    await sleep(FREEZE_PAUSE_MS);
   }
+  ended = true;
+  await arrivals;
   const answers = await Promise.all(clients);
   await sleep(500);
   for (const { proxy } of fleet.routers) {
     proxy.close();
   }
-  const hasRun = (request) =>
-    fleet.told.some((message) => message.kind === 'ran' && message.request === request);
+  const has = (kind, request) =>
+    fleet.told.some((message) => message.kind === kind && message.request === request);
   const statuses = answers.map(({ status }) => status);
-  fleet.log(
-    `statuses of the first requests: ${[...new Set(statuses)].map((s) => `${s}: ${statuses.filter((t) => t === s).length}`).join(', ')}`,
+  const counts = [...new Set(statuses)].map(
+    (status) => `${status}: ${statuses.filter((other) => other === status).length}`,
   );
+  fleet.log(`statuses of the first requests: ${counts.join(', ')}`);
   return answers
-    .filter(({ request, status }) => PROMISES.includes(status) && hasRun(request))
+    .filter(({ request, status }) => PROMISES.includes(status) && has('ran', request))
     .map(({ request, status, router, again }) => {
+      const end = has('finished', request) ? ' to its end' : '';
       const repeat =
-        again !== undefined && hasRun(again.request) ? `; the client's retry ${again.request} ran too` : '';
-      return `REFUSED: ${router} answered ${request} with ${status}, and an engine ran it${repeat}`;
+        again !== undefined && has('ran', again.request)
+          ? `; the client's retry ${again.request} ran too`
+          : '';
+      return `REFUSED: ${router} answered ${request} with ${status}, and an engine ran it${end}${repeat}`;
     });
 });
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -7,14 +7,14 @@
 const HOST = 'desk.example';
 const KEY = 'n2ctnfzs989anu6wsjnb';
 /** The store performs the unanswered write this much later: `platform_lost` late has 1 to 6 s. */
-const LATE_MS = 5_900;
+const LATE_MS = 5_650;
 /** From the lost answer, which ends the disruption, to the engine's report: more than `contact-ms`, 3,000. */
 const CALM_MS = 3_100;
 /** Time for which the engine serves beyond `drain-ms` before it exits; at times many seconds. */
 const LINGER_MS = 2_000;
 const EVENTS = 10;
 const GAP_MS = 200;
-const REQUEST_PAUSE_MS = 100;
+const REQUEST_PAUSE_MS = 60;
 
 const configuration = {
   version: 3,
