Do not execute a request on a connection that was answered with 408

What callers saw: a router that woke from a freeze answered payments with 408, which promises that they have not run and never will, and then passed them on.

Cause: after a stall of the event loop, timers run before reads. Node's check of the header timeout takes a connection for idle whose request waits in the socket. The `clientError` handler ended the writing side of the connection only, which goes on being read; `accept` knew of connections on which a drain had announced the close, not of this one.

No freeze is needed: a request, or its second half, that arrives after the 408 ran too.

Change: whatever announces the close of a connection (drain, 408, 400, 431, 413) marks it, and what is read from then on is discarded and logged. The header timeout waits until what the socket holds has been read, so that a request that arrived in a stall is served. A refused connection is read for one more second, so that its close does not reset it before the caller has the response, and then destroyed; it stayed open for as long as the caller kept it open.

The same cause on related paths: requests behind one that exceeds the header or body limit (431, 413) ran, although no response could follow, while an earlier response kept the connection open.

--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -5,6 +5,7 @@
 import type { Task } from '@pimentostall/core';
 import { Channel } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
+import { LogLevel } from '../observability/log.ts';
 import type { CallerExchange, LocalReply, RequestEvent, RequestHead } from '../requests/ports.ts';
 import { RequestEventKind } from '../requests/ports.ts';
 import { serveRequest } from '../requests/serveRequest.ts';
@@ -31,13 +32,35 @@
  */
 const DISPATCH_DELAY_TURNS = 3;
 
+/**
+ * Event loop turns after which a request that arrived during a stall has been read: timers run before reads, so that the
+ * header timeout expires first.
+ */
+const HEADER_TIMEOUT_DELAY_TURNS = 2;
+
+/** Code of the error that Node reports for a connection that exceeds the header timeout. */
+const HEADER_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+
+/**
+ * Time for which the bytes of a refused connection are still read and discarded. A close with unread bytes resets the
+ * connection, and the caller may lose the response.
+ */
+const LINGER_MS = 1_000;
+
+/** State of one connection of a caller. */
+interface CallerConnection {
+  /** Exchanges without a complete response, in the order of their requests. */
+  readonly exchanges: Set<HttpExchange>;
+  /** Requests whose head was read. */
+  requestCount: number;
+  /** True once a response has announced the close: requests that are read later get no response and are not executed. */
+  closing: boolean;
+}
+
 /** HTTP server for callers. Reads each request completely and then spawns a task to serve it. */
 export class CallerServer {
   readonly server: Server;
-  /** Exchanges without a complete response, by connection. */
-  private readonly openExchanges = new Map<Duplex, Set<HttpExchange>>();
-  /** Connections on which a response has announced the close; later requests on them get no response. */
-  private readonly closingConnections = new WeakSet<Duplex>();
+  private readonly connections = new Map<Duplex, CallerConnection>();
 
   constructor(
     private readonly context: GatewayContext,
@@ -58,13 +81,10 @@
     );
     this.server.headersTimeout = INITIAL_LIMITS.headerTimeoutMs;
     this.server.on('clientError', (cause: NodeJS.ErrnoException, socket) => {
-      // A response to a parser error would be taken as the response to an open request.
-      const hasOpenRequest = (this.openExchanges.get(socket)?.size ?? 0) > 0;
-      if (socket.writable && cause.code !== 'ECONNRESET' && !hasOpenRequest) {
-        const statusLine = `HTTP/1.1 ${parserErrorStatus(cause.code)}`;
-        socket.end(`${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+      if (cause.code === HEADER_TIMEOUT_CODE) {
+        this.refuseUnlessRead(socket, cause);
       } else {
-        socket.destroy();
+        this.refuseConnection(socket, cause);
       }
     });
   }
@@ -77,7 +97,7 @@
 
   /** Tells all open requests that the router is about to exit; the board says which of them end. */
   endOpenRequests(): void {
-    for (const exchanges of this.openExchanges.values()) {
+    for (const { exchanges } of this.connections.values()) {
       for (const exchange of exchanges) {
         this.context.loop.push(exchange.events, { kind: RequestEventKind.RouterStopping });
       }
@@ -87,18 +107,23 @@
   private accept(message: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = this.context.loop.nowMs();
     const limits = this.context.board.configuration?.limits ?? INITIAL_LIMITS;
-    if (headerBytes(message) > limits.maxHeaderBytes) {
-      rejectRequest(response, 431);
+    const connection = this.connectionOf(message.socket);
+    connection.requestCount += 1;
+    if (connection.closing) {
+      this.context.metrics.count('pimentostall_ignored_requests_total');
+      this.context.log(LogLevel.Info, 'request ignored; its connection is being closed', {
+        requestId: this.codec.decodeRequest(message).requestId,
+      });
       message.resume();
       return;
     }
-    const connection = message.socket;
-    if (this.closingConnections.has(connection)) {
+    if (headerBytes(message) > limits.maxHeaderBytes) {
+      rejectRequest(connection, response, 431);
       message.resume();
       return;
     }
     const head = this.codec.decodeRequest(message);
-    const exchanges = this.exchangesOf(connection);
+    const { exchanges } = connection;
     const exchange: HttpExchange = new HttpExchange(
       this.context,
       this.codec,
@@ -108,9 +133,7 @@
       () => {
         // The response before a pipelined request must not close the connection, since that request may be running.
         const announcesClose = this.context.board.draining && [...exchanges].at(-1) === exchange;
-        if (announcesClose) {
-          this.closingConnections.add(connection);
-        }
+        connection.closing ||= announcesClose;
         return announcesClose;
       },
     );
@@ -126,7 +149,7 @@
       if (sizeBytes <= limits.maxBodyBytes) {
         chunks.push(chunk);
       } else if (!response.headersSent) {
-        rejectRequest(response, 413);
+        rejectRequest(connection, response, 413);
       }
     });
     message.on('end', () => {
@@ -141,21 +164,71 @@
     });
   }
 
-  private exchangesOf(connection: Duplex): Set<HttpExchange> {
-    const existing = this.openExchanges.get(connection);
+  private connectionOf(socket: Duplex): CallerConnection {
+    const existing = this.connections.get(socket);
     if (existing !== undefined) {
       return existing;
     }
-    const exchanges = new Set<HttpExchange>();
-    this.openExchanges.set(connection, exchanges);
-    connection.once('close', () => {
-      this.openExchanges.delete(connection);
+    const connection: CallerConnection = { exchanges: new Set(), requestCount: 0, closing: false };
+    this.connections.set(socket, connection);
+    socket.once('close', () => {
+      this.connections.delete(socket);
       // Node does not report the close to the responses of pipelined requests that wait for an earlier one.
-      for (const exchange of exchanges) {
+      for (const exchange of connection.exchanges) {
         exchange.closed();
       }
     });
-    return exchanges;
+    return connection;
+  }
+
+  /** Refuses a connection that exceeds the header timeout, unless its request arrived during a stall of the event loop. */
+  private refuseUnlessRead(socket: Duplex, cause: NodeJS.ErrnoException): void {
+    const connection = this.connectionOf(socket);
+    const { requestCount } = connection;
+    runAfterTurns(HEADER_TIMEOUT_DELAY_TURNS, () => {
+      if (connection.requestCount === requestCount) {
+        this.refuseConnection(socket, cause);
+      } else {
+        this.context.log(LogLevel.Info, 'request read after the header timeout had expired in a stall', {
+          requests: connection.requestCount,
+        });
+      }
+    });
+  }
+
+  /**
+   * Answers a connection on which no complete request was read, and closes it. The response may state that no request
+   * was executed, so that none which is read from then on may be.
+   */
+  private refuseConnection(socket: Duplex, cause: NodeJS.ErrnoException): void {
+    if (socket.destroyed) {
+      return;
+    }
+    const connection = this.connectionOf(socket);
+    // A response to a parser error would be taken as the response to an open request.
+    if (!socket.writable || cause.code === 'ECONNRESET' || connection.exchanges.size > 0) {
+      socket.destroy();
+      return;
+    }
+    if (connection.closing) {
+      return;
+    }
+    connection.closing = true;
+    const status = parserErrorStatus(cause.code);
+    this.context.metrics.count('pimentostall_refused_connections_total', `status="${status.slice(0, 3)}"`);
+    this.context.log(LogLevel.Info, 'caller connection refused without a complete request', {
+      status,
+      cause: cause.code ?? cause.message,
+      requests: connection.requestCount,
+    });
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    const timer = setTimeout(() => {
+      socket.destroy();
+    }, LINGER_MS);
+    timer.unref();
+    socket.once('close', () => {
+      clearTimeout(timer);
+    });
   }
 
   /**
@@ -187,7 +260,7 @@
   switch (code) {
     case 'HPE_HEADER_OVERFLOW':
       return '431 Request Header Fields Too Large';
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
+    case HEADER_TIMEOUT_CODE:
       return '408 Request Timeout';
     default:
       return '400 Bad Request';
@@ -205,7 +278,8 @@
 }
 
 /** Rejects a request that exceeds a limit, and closes its connection after the response. */
-function rejectRequest(response: ServerResponse, status: 413 | 431): void {
+function rejectRequest(connection: CallerConnection, response: ServerResponse, status: 413 | 431): void {
+  connection.closing = true;
   response.writeHead(status, { Connection: 'close', 'Content-Length': 0 });
   response.end();
 }
