Do not let a late heartbeat make a draining or removed upstream ready again

Cause: an upstream writes its entry without a condition, and the store may perform a write without a reply seconds later. Each version of a row was taken as newer than the one before. The entry states what orders it, the start of the incarnation and the count of its heartbeats, but the count was not decoded and neither was compared.

Evidence: the row that reopens the engine has a lower count in the same incarnation (record of the case).

Change: `UpstreamHistory` (pure) orders an entry against the newest one of its id, also after a removal. An entry of an older incarnation, an older heartbeat and a ready after draining are held and logged. A restart under the same id counts at once by its start.

--- a/packages/gateway/src/__tests__/fleet/simulatedEngines.ts
+++ b/packages/gateway/src/__tests__/fleet/simulatedEngines.ts
@@ -161,6 +161,7 @@
       slots: 16,
       warmupLeftMs: 0,
       startTimeMs: this.timeline.nowMs,
+      sequence: undefined,
     };
     this.engines.set(upstreamId, {
       entry,
--- a/packages/gateway/src/http/__tests__/hasEnded.test.ts
+++ b/packages/gateway/src/http/__tests__/hasEnded.test.ts
@@ -37,6 +37,7 @@
     slots: 1,
     warmupLeftMs: 0,
     startTimeMs: undefined,
+    sequence: undefined,
   };
   assert.equal(await connections.hasEnded(entry), false);
   server.close();
--- a/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
+++ b/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
@@ -74,6 +74,7 @@
     slots: 1,
     warmupLeftMs: 0,
     startTimeMs: undefined,
+    sequence: undefined,
   };
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -43,6 +43,7 @@
 export { recordLeaving } from './placement/recordLeaving.ts';
 export type { PlacementOptions } from './placement/options.ts';
 export { DEFAULT_PLACEMENT } from './placement/options.ts';
+export { EntryOrder, UpstreamHistory } from './placement/upstreamHistory.ts';
 export { UpstreamView } from './placement/upstreamView.ts';
 export type { QuarantineOptions } from './quarantine/options.ts';
 export { DEFAULT_QUARANTINE } from './quarantine/options.ts';
--- a/packages/gateway/src/placement/__tests__/chooseUpstream.test.ts
+++ b/packages/gateway/src/placement/__tests__/chooseUpstream.test.ts
@@ -33,6 +33,7 @@
           slots: 64,
           warmupLeftMs: 0,
           startTimeMs: undefined,
+          sequence: undefined,
           ...change,
         },
         DEFAULT_PLACEMENT,
--- a/packages/gateway/src/placement/leavingUpstreams.ts
+++ b/packages/gateway/src/placement/leavingUpstreams.ts
@@ -27,6 +27,11 @@
     return true;
   }
 
+  /** Forgets an incarnation that a restart could not be told from. */
+  delete(entry: UpstreamEntry): void {
+    this.keys.delete(incarnationKey(entry));
+  }
+
   has(entry: UpstreamEntry): boolean {
     return this.keys.has(incarnationKey(entry));
   }
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -286,6 +286,7 @@
     slots: 1,
     warmupLeftMs: 0,
     startTimeMs: undefined,
+    sequence: undefined,
   };
   return new UpstreamView(entry, DEFAULT_PLACEMENT);
 }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -97,6 +97,8 @@
   readonly warmupLeftMs: number;
   /** Unix time of its start, which distinguishes two incarnations under one id; undefined if not reported. */
   readonly startTimeMs: number | undefined;
+  /** Number of the heartbeat that wrote the entry, counted from the start; undefined if not reported. */
+  readonly sequence: number | undefined;
 }
 
 /** Registry entry of a router, from its own row in the store. */
