Do not take an upstream for running whose listening socket is still closing

Cause: a process that ends may close its connections before its listening socket. The router sees the end of a connection, connects, and takes the open port for a running process.

Change: the connection must stay open for 50 ms. One that is closed sooner belongs to a process that ends, or to one that accepts no more connections; a second one tells which.

--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -76,7 +76,7 @@
     if (existing !== undefined) {
       return existing;
     }
-    const check = isRefused(address, this.options.connectTimeoutMs).finally(() => {
+    const check = hasStoppedListening(address, this.options.connectTimeoutMs).finally(() => {
       this.endChecks.delete(address);
     });
     this.endChecks.set(address, check);
@@ -353,24 +353,54 @@
   return { bodyBytes, isCloseDelimited: bodyBytes === undefined && !isChunked };
 }
 
-/** Resolves to true if a connection to the address is refused; does not reject. */
-function isRefused(address: string, timeoutMs: number): Promise<boolean> {
+/**
+ * Time for which a connection must stay open to count as accepted by a running process. A process that ends may close
+ * its listening socket after its connections.
+ */
+const ACCEPTED_AFTER_MS = 50;
+
+enum ConnectionProbe {
+  Refused = 'refused',
+  /** Opened and closed at once: the process has just ended, or accepts no more connections. */
+  Closed = 'closed',
+  /** Stayed open, or nothing responded in time. */
+  Open = 'open',
+}
+
+/** Resolves to true if nothing listens at the address any more; does not reject. */
+async function hasStoppedListening(address: string, timeoutMs: number): Promise<boolean> {
+  const first = await probeConnection(address, timeoutMs);
+  const last = first === ConnectionProbe.Closed ? await probeConnection(address, timeoutMs) : first;
+  return last === ConnectionProbe.Refused;
+}
+
+function probeConnection(address: string, timeoutMs: number): Promise<ConnectionProbe> {
   const { hostname, port } = new URL(`http://${address}`);
   return new Promise((resolve) => {
-    const socket = connectSocket({ host: hostname, port: Number(port), timeout: timeoutMs });
-    const finish = (refused: boolean): void => {
+    const socket = connectSocket({ host: hostname, port: Number(port) });
+    const finish = (result: ConnectionProbe): void => {
+      clearTimeout(timer);
       socket.destroy();
-      resolve(refused);
+      resolve(result);
     };
+    let timer = setTimeout(finish, timeoutMs, ConnectionProbe.Open);
     socket.on('connect', () => {
-      finish(false);
+      clearTimeout(timer);
+      timer = setTimeout(finish, ACCEPTED_AFTER_MS, ConnectionProbe.Open);
     });
-    socket.on('timeout', () => {
-      finish(false);
+    socket.on('end', () => {
+      finish(ConnectionProbe.Closed);
     });
-    socket.on('error', (cause: NodeJS.ErrnoException) => {
-      finish(cause.code === 'ECONNREFUSED');
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+      finish(
+        code === 'ECONNREFUSED'
+          ? ConnectionProbe.Refused
+          : code === 'ECONNRESET'
+            ? ConnectionProbe.Closed
+            : ConnectionProbe.Open,
+      );
     });
+    socket.resume();
   });
 }
 
