Do not pass on a response without a length as whole if its leaving upstream has ended

Cause: the check for an ended upstream was that for crashes, which answers no without a look for an upstream that is leaving or no longer registered. Who is to blame for an end and whether a response is whole are different questions.

Change: the end of a response that only its connection delimits asks whether the upstream still listens, whatever the register says of it. The attribution of crashes is as before. An upstream that exits right after such a response may have completed it; it counts as broken off, and a resumable stream goes on elsewhere.

--- a/packages/gateway/src/requests/__tests__/serveRequest.test.ts
+++ b/packages/gateway/src/requests/__tests__/serveRequest.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Verdict } from '@pimentostall/core';
+import type { UpstreamView } from '../../placement/upstreamView.ts';
 import { RouteKind } from '../../types.ts';
 import { LocalReplyReason } from '../localReplies.ts';
 import { UpstreamFailure } from '../ports.ts';
@@ -365,6 +366,36 @@
   assert.equal(rig.call.request.lastEventId, '1');
 });
 
+const departures: readonly [string, (rig: RequestRig, view: UpstreamView) => void][] = [
+  [
+    'drains',
+    (_rig, view) => {
+      view.leaving = true;
+    },
+  ],
+  [
+    'is no longer registered',
+    ({ context }, { entry }) => {
+      context.board.upstreams.delete(entry.upstreamId);
+    },
+  ],
+];
+for (const [name, leave] of departures) {
+  test(`a stream without a length that ends as its engine exits while it ${name} goes on at another engine`, async () => {
+    const { rig, caller } = startStream();
+    const { upstreamId } = rig.call;
+    const view = rig.context.board.upstreams.get(upstreamId);
+    assert.ok(view);
+    leave(rig, view);
+    rig.ended.add(upstreamId);
+    rig.call.end(true);
+    await settle();
+    assert.equal(caller.ended, false);
+    assert.equal(rig.calls.length, 2);
+    assert.equal(rig.call.request.lastEventId, '1');
+  });
+}
+
 test('a response without a length that ends as its upstream crashes is not passed on as whole', async () => {
   const rig = new RequestRig();
   const caller = rig.send();
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -15,7 +15,7 @@
 import { RequestEventKind, UpstreamFailure } from './ports.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
-import { hasCrashed, recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
+import { recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
 
 /** Status of a response on a streaming route whose body is an event stream. */
 const EVENT_STREAM_STATUS = 200;
@@ -69,10 +69,10 @@
 
 /**
  * Whether a response that only its connection delimits ended because its upstream did: a process that ends closes its
- * connections in an orderly way.
+ * connections in an orderly way, also one that is leaving or no longer registered.
  */
 function* brokeOffWithUpstream(
-  context: GatewayContext,
+  { loop, upstreamPort }: GatewayContext,
   { number, placement }: AttemptProgress,
   event: RequestEvent,
 ): Task<boolean> {
@@ -80,7 +80,7 @@
     event.kind === RequestEventKind.UpstreamEnd &&
     event.attempt === number &&
     event.endsWithConnection &&
-    (yield* hasCrashed(context, placement.upstream))
+    (yield* loop.settled(upstreamPort.hasEnded(placement.upstream.entry)))
   );
 }
 
--- a/packages/gateway/src/requests/suspectRequests.ts
+++ b/packages/gateway/src/requests/suspectRequests.ts
@@ -91,10 +91,7 @@
 }
 
 /** Whether an upstream has ended although it was not leaving, after one of its connections was closed. */
-export function* hasCrashed(
-  { board, loop, upstreamPort }: GatewayContext,
-  upstream: UpstreamView,
-): Task<boolean> {
+function* hasCrashed({ board, loop, upstreamPort }: GatewayContext, upstream: UpstreamView): Task<boolean> {
   const { entry } = upstream;
   const isRegistered = board.upstreams.get(entry.upstreamId) === upstream;
   return isRegistered && upstream.isStaying && (yield* loop.settled(upstreamPort.hasEnded(entry)));
