Do not pass on a response without a length as whole if its upstream has started again

Cause: an open port was taken as proof that the process that had begun the response was still running. After a freeze, the end of a connection is read seconds after it came.

Change: the register tells one incarnation from another. A response that only its connection delimits is whole if the upstream listens and the register names no other incarnation of it. If the event loop has stalled since the request was sent, the register must have been read after the stall, which takes 1.3 s at most; the response counts as broken off if that fails for 2 s. No call is made for it: the follower of the register tells when its newest reading was requested.

Not covered: an upstream that states no start time, and one that listens before the store has its entry.

--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -22,6 +22,8 @@
   organisationByKey: ReadonlyMap<string, string>;
   /** All known upstreams by id, including those that are not ready. */
   readonly upstreams: Map<string, UpstreamView>;
+  /** Monotonic time at which the newest reading of the registry was requested. */
+  registerReadAtMs: number;
   /** Upstreams that said that they are leaving, whatever the registry says of them. */
   readonly leavingUpstreams: LeavingUpstreams;
   readonly routers: RouterRegistry;
@@ -61,6 +63,7 @@
     routeTable: undefined,
     organisationByKey: new Map(),
     upstreams: new Map(),
+    registerReadAtMs: -Infinity,
     leavingUpstreams: new LeavingUpstreams(),
     routers,
     homeRouters: new MembershipCache(routers),
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -176,6 +176,14 @@
     this.nowMs = untilMs;
   }
 
+  /** Lets time pass in which nothing runs, as in a freeze of the VM. */
+  stall(durationMs: number): void {
+    const { timer } = this;
+    this.nowMs += durationMs;
+    this.timer = undefined;
+    timer?.run();
+  }
+
   /** The most recent upstream call. */
   get call(): FakeUpstreamCall {
     const call = this.calls.at(-1);
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -16,6 +16,7 @@
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
 import { recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
+import { mayHaveEndedWithUpstream } from './upstreamEnd.ts';
 
 /** Status of a response on a streaming route whose body is an event stream. */
 const EVENT_STREAM_STATUS = 200;
@@ -48,7 +49,7 @@
       const result =
         event === undefined
           ? checkTimeouts(context, request, progress, mayRetry)
-          : (yield* brokeOffWithUpstream(context, progress, event))
+          : (yield* brokeOffWithUpstream(context, request, progress, event))
             ? handleFailure(context, progress, UpstreamFailure.ConnectionClosed, 'upstream ended')
             : handleEvent(context, request, progress, event, mayRetry);
       if (progress.firstEventAtMs !== undefined) {
@@ -67,20 +68,21 @@
   }
 }
 
-/**
- * Whether a response that only its connection delimits ended because its upstream did: a process that ends closes its
- * connections in an orderly way, also one that is leaving or no longer registered.
- */
 function* brokeOffWithUpstream(
-  { loop, upstreamPort }: GatewayContext,
-  { number, placement }: AttemptProgress,
+  context: GatewayContext,
+  { deadlineAtMs }: ServedRequest,
+  { number, placement, sentAtMs }: AttemptProgress,
   event: RequestEvent,
 ): Task<boolean> {
   return (
     event.kind === RequestEventKind.UpstreamEnd &&
     event.attempt === number &&
     event.endsWithConnection &&
-    (yield* loop.settled(upstreamPort.hasEnded(placement.upstream.entry)))
+    (yield* mayHaveEndedWithUpstream(context, {
+      upstream: placement.upstream.entry,
+      sentAtMs: sentAtMs ?? -Infinity,
+      deadlineAtMs,
+    }))
   );
 }
 
--- a/packages/gateway/src/runtime/taskLoop.ts
+++ b/packages/gateway/src/runtime/taskLoop.ts
@@ -11,6 +11,9 @@
 /** Called when a task throws. The task ends, and the other tasks continue. */
 export type TaskFailureHandler = (taskName: string, cause: unknown) => void;
 
+/** Delay of a timer from which the event loop counts as stalled: longer than a busy VM delays one. */
+const STALL_MS = 300;
+
 /** Interval between the times at which periodic work may start. */
 const TICK_MS = 50;
 
@@ -21,6 +24,7 @@
   private armedDeadlineMs = Infinity;
   private cancelTimer: (() => void) | undefined;
   private maxTimerDelayMs = 0;
+  private lastStallEndMs = -Infinity;
 
   constructor(
     private readonly clock: LoopClock,
@@ -72,6 +76,11 @@
     return delayMs;
   }
 
+  /** Monotonic time at which the last stall of the event loop ended, such as a freeze of the VM; -Infinity without one. */
+  get stalledUntilMs(): number {
+    return this.lastStallEndMs;
+  }
+
   private run(): void {
     if (this.running) {
       return;
@@ -95,7 +104,11 @@
     this.armedDeadlineMs = deadlineMs;
     const delayMs = Math.max(0, Math.ceil(deadlineMs - this.clock.nowMs()));
     this.cancelTimer = this.clock.startTimer(delayMs, () => {
-      this.maxTimerDelayMs = Math.max(this.maxTimerDelayMs, this.clock.nowMs() - deadlineMs);
+      const nowMs = this.clock.nowMs();
+      this.maxTimerDelayMs = Math.max(this.maxTimerDelayMs, nowMs - deadlineMs);
+      if (nowMs - deadlineMs >= STALL_MS) {
+        this.lastStallEndMs = nowMs;
+      }
       this.armedDeadlineMs = Infinity;
       this.cancelTimer = undefined;
       this.run();
