Keep engines that lapse for a moment in use once a response confirms them

What callers saw: while the store performs heartbeats late, entries of live engines lapse and come back within two seconds.

Change: an engine that has left may still get requests for `drain-ms`, and says in each response that it leaves. One that comes back soon is used until then; a response that does not say so confirms it for good. An older heartbeat right after a removal is treated alike, since it may be all that is left of a live engine's row.

--- a/packages/gateway/src/placement/upstreamHistory.ts
+++ b/packages/gateway/src/placement/upstreamHistory.ts
@@ -39,6 +39,11 @@
     return known === undefined ? EntryOrder.Newest : compare(entry, known, nowMs);
   }
 
+  /** Monotonic time at which an upstream was removed; undefined if it is registered or not remembered. */
+  removedAtMs(upstreamId: string): number | undefined {
+    return this.removed.get(upstreamId)?.removedAtMs;
+  }
+
   /** Records an entry as the newest of its id. */
   record(entry: UpstreamEntry): void {
     this.removed.delete(entry.upstreamId);
@@ -78,13 +83,14 @@
   if (entry.startTimeMs !== known.startTimeMs) {
     return EntryOrder.Newest;
   }
-  if (statesStart || !wasRemoved) {
-    if ((entry.sequence ?? Infinity) < (known.sequence ?? -Infinity)) {
-      return EntryOrder.OlderHeartbeat;
-    }
-    if (known.state === UpstreamState.Draining && entry.state === UpstreamState.Ready) {
-      return EntryOrder.ReadyAfterDraining;
-    }
+  const isComparable = statesStart || !wasRemoved;
+  if (isComparable && known.state === UpstreamState.Draining && entry.state === UpstreamState.Ready) {
+    return EntryOrder.ReadyAfterDraining;
+  }
+  if (wasRemoved && nowMs - removedAtMs < LATE_WRITE_MS) {
+    return EntryOrder.EarlyReturn;
   }
-  return wasRemoved && nowMs - removedAtMs < LATE_WRITE_MS ? EntryOrder.EarlyReturn : EntryOrder.Newest;
+  return isComparable && (entry.sequence ?? Infinity) < (known.sequence ?? -Infinity)
+    ? EntryOrder.OlderHeartbeat
+    : EntryOrder.Newest;
 }
--- a/packages/gateway/src/placement/upstreamView.ts
+++ b/packages/gateway/src/placement/upstreamView.ts
@@ -27,6 +27,8 @@
   resumesAtMs = -Infinity;
   /** Called when the upstream takes no more requests, for each attempt that waits for a connection to it. */
   readonly unsentAttempts = new Set<() => void>();
+  /** Span of monotonic time in which it gets no requests, unless a response confirms that it stays. */
+  private doubt: { readonly fromMs: number; readonly untilMs: number } | undefined;
   private resumeReported = true;
   private consecutiveFailures = 0;
   private readonly partSentAtMs = new Map<string, number>();
@@ -42,7 +44,18 @@
   }
 
   isUsable(nowMs: number): boolean {
-    return this.isStaying && nowMs >= this.ejectedUntilMs && nowMs >= this.resumesAtMs;
+    const isDoubted = this.doubt !== undefined && nowMs >= this.doubt.fromMs && nowMs < this.doubt.untilMs;
+    return this.isStaying && !isDoubted && nowMs >= this.ejectedUntilMs && nowMs >= this.resumesAtMs;
+  }
+
+  /** Excludes it for a span of time, since the entry that registers it may be outdated. */
+  doubtEntry(fromMs: number, untilMs: number): void {
+    this.doubt = { fromMs, untilMs };
+  }
+
+  /** Records a response that does not say that it is leaving. */
+  confirmEntry(): void {
+    this.doubt = undefined;
   }
 
   recordSuccess(): void {
--- a/packages/gateway/src/requests/__tests__/leavingUpstream.test.ts
+++ b/packages/gateway/src/requests/__tests__/leavingUpstream.test.ts
@@ -81,3 +81,22 @@
   assert.equal(rig.calls.length, 2);
   assert.equal(caller.aborted, true);
 });
+
+test('a response confirms a doubted entry of its upstream, unless it says that it is leaving or comes from another one', () => {
+  for (const [head, isConfirmed] of [
+    [{}, true],
+    [{ notExecuted: true, status: 503 }, true],
+    [{ upstreamLeaving: true }, false],
+    [{ wrongUpstream: true, status: 421 }, false],
+    [{ matchesRequest: false }, false],
+  ] as const) {
+    const rig = new RequestRig({}, ['a']);
+    const view = rig.context.board.upstreams.get('a');
+    const nowMs = rig.context.loop.nowMs();
+    view?.doubtEntry(nowMs + 10, nowMs + 100_000);
+    rig.send();
+    rig.call.sent();
+    rig.call.head(head);
+    assert.equal(view?.isUsable(nowMs + 50_000), isConfirmed, JSON.stringify(head));
+  }
+});
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -221,6 +221,8 @@
   const nowMs = context.loop.nowMs();
   if (head.upstreamLeaving && !head.wrongUpstream) {
     recordLeaving(context, view, 'response');
+  } else if (head.matchesRequest && !head.wrongUpstream) {
+    view.confirmEntry();
   }
   const asksForTime = recordRetryAfter(context, view, head.retryAfter);
   if (head.belongsToOtherRequest) {
