--- a/packages/gateway/src/placement/upstreamHistory.ts
+++ b/packages/gateway/src/placement/upstreamHistory.ts
@@ -66,10 +66,7 @@
   }
 }
 
-/**
- * Whether a restart under the same id can be told from an older entry. Without a start time, only the removal in
- * between shows a restart.
- */
+/** Orders an entry against the newest known one. Without a start time, only a removal tells a restart from an old entry. */
 function compare(
   entry: UpstreamEntry,
   { entry: known, removedAtMs }: KnownUpstream,
