--- a/packages/gateway/src/placement/upstreamView.ts
+++ b/packages/gateway/src/placement/upstreamView.ts
@@ -25,6 +25,8 @@
   leaving = false;
   /** Monotonic time from which it takes requests again, after it asked for time. */
   resumesAtMs = -Infinity;
+  /** Monotonic time until which the upstream tolerates only few requests per second, since it has just started. */
+  coldUntilMs = -Infinity;
   /** Called when the upstream takes no more requests, for each attempt that waits for a connection to it. */
   readonly unsentAttempts = new Set<() => void>();
   /** Span of monotonic time in which it gets no requests, unless a response confirms that it stays. */
@@ -91,6 +93,11 @@
     return true;
   }
 
+  /** Records that the upstream is cold; of several times, the latest counts. */
+  markCold(untilMs: number): void {
+    this.coldUntilMs = Math.max(this.coldUntilMs, untilMs);
+  }
+
   /** Sends the attempts elsewhere that wait for a connection. */
   withdrawUnsentAttempts(): void {
     for (const withdraw of [...this.unsentAttempts]) {
