Exclude evacuated zones from placement and decode allowed regions

Routers read the rows of evacuated zones with the configuration document, relays pass the set on, and requests that wait for a connection there go elsewhere. Placement, retries and resumes keep to the allowed regions of the route and the organisation. Moves the log entry of an attempt to a module of its own.

--- a/packages/gateway/src/__tests__/fleet/simulatedFleet.ts
+++ b/packages/gateway/src/__tests__/fleet/simulatedFleet.ts
@@ -35,6 +35,7 @@
   anonymous: true,
   resumable: true,
   targets: [{ serviceName: SERVICE, weight: 1 }],
+  allowedRegions: [],
 };
 
 const CONFIGURATION: GatewayConfiguration = {
@@ -47,6 +48,7 @@
         name: SERVICE,
         maxConnections: 400,
         engine: { slots: 16, kvCapacityTokens: 100_000, tokensPerEvent: 4, maxCacheFollowers: 8 },
+        warmup: undefined,
       },
     ],
   ]),
--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -1,5 +1,7 @@
 import type { DocumentState } from './configuration/documentState.ts';
 import { createDocumentState } from './configuration/documentState.ts';
+import type { EvacuationState } from './evacuation/evacuationState.ts';
+import { createEvacuationState } from './evacuation/evacuationState.ts';
 import { MembershipCache, RouterRegistry } from './membership/routerRegistry.ts';
 import type { LedgerAccount } from './money/ledgerController.ts';
 import type { PreviousIncarnation } from './money/liveness.ts';
@@ -17,6 +19,8 @@
   configuration: GatewayConfiguration | undefined;
   /** The document from which the configuration was decoded, or a newer one that could not be decoded. */
   readonly configurationDocument: DocumentState;
+  /** Availability zones to which nothing may be sent. */
+  readonly evacuations: EvacuationState;
   routeTable: RouteTable | undefined;
   /** Organisation names by API key. */
   organisationByKey: ReadonlyMap<string, string>;
@@ -60,6 +64,7 @@
   return {
     configuration: undefined,
     configurationDocument: createDocumentState(),
+    evacuations: createEvacuationState(),
     routeTable: undefined,
     organisationByKey: new Map(),
     upstreams: new Map(),
--- a/packages/gateway/src/configuration/__tests__/simulatedRouters.ts
+++ b/packages/gateway/src/configuration/__tests__/simulatedRouters.ts
@@ -5,6 +5,7 @@
 import { createBlackboard } from '../../blackboard.ts';
 import type { GatewayContext } from '../../context.ts';
 import { Timeline } from '../../money/__tests__/timeline.ts';
+import { GatewayMetrics } from '../../observability/metrics.ts';
 import { createOptions } from '../../options.ts';
 import { TaskLoop } from '../../runtime/taskLoop.ts';
 import type { RouterEntry } from '../../types.ts';
@@ -96,6 +97,8 @@
       self,
       random,
       log: () => undefined,
+      metrics: new GatewayMetrics(),
+      location: { availabilityZone: '', region, regionOf: () => region },
     } as unknown as GatewayContext;
   }
 
@@ -183,7 +186,12 @@
   /** Documents that the store has sent, by the region of the reader. */
   readonly documentReads = { [Region.Near]: 0, [Region.Far]: 0 };
   pollCount = 0;
+  /** False for relays of an older build, which pass on the document alone. */
+  relaysKnowZones = true;
   private document: ConfigurationDocument | undefined;
+  private zones: readonly string[] = [];
+  /** Version of the last change of the evacuated zones. */
+  private zonesVersion = 0;
   private storeVersion = 0;
   private oldestVersion = 0;
   private linkBusyUntilMs = 0;
@@ -235,6 +243,33 @@
     return this.storeVersion;
   }
 
+  /** Writes and removes the rows of evacuated zones as the operator does. */
+  evacuate(zones: readonly string[]): void {
+    this.storeVersion += 1;
+    this.zones = zones;
+    this.zonesVersion = this.storeVersion;
+    for (const resume of [...this.pendingReads]) {
+      resume();
+    }
+  }
+
+  /** Runs until all the given routers know the evacuated zones of the store; returns the time that it took. */
+  async zonesSpreadMs(limitMs: number, routers = this.routers): Promise<number> {
+    const startedAtMs = this.timeline.nowMs;
+    const expected = this.zones.join();
+    const late = (): SimulatedRouter[] =>
+      routers.filter(({ context }) => [...context.board.evacuations.zones].join() !== expected);
+    while (late().length > 0 && this.timeline.nowMs - startedAtMs < limitMs) {
+      await this.advance(50);
+    }
+    assert.deepEqual(
+      late().map(({ index }) => index),
+      [],
+      `the zones are not known everywhere after ${limitMs} ms`,
+    );
+    return this.timeline.nowMs - startedAtMs;
+  }
+
   /** Other rows change, and the store discards the history before them. */
   truncateHistory(): void {
     this.storeVersion += 1_000;
@@ -298,7 +333,9 @@
           this.document !== undefined && (since === undefined || this.document.version > since)
             ? this.document
             : undefined;
-        const reading = { document, seenVersion: this.storeVersion, silentMs: 0 };
+        const seenVersion = this.storeVersion;
+        const evacuations = { zones: this.zones, version: seenVersion };
+        const reading = { document, seenVersion, silentMs: 0, evacuations };
         let transferMs = STORE_ROUND_TRIP_MS[reader.region];
         if (document !== undefined || since === undefined) {
           this.documentReads[reader.region] += 1;
@@ -325,6 +362,7 @@
         const changed =
           since === undefined ||
           since < this.oldestVersion ||
+          this.zonesVersion > since ||
           (this.document !== undefined && this.document.version > since);
         if (changed) {
           reply();
@@ -378,7 +416,9 @@
         return;
       }
       const reply = (): void => {
-        const { document, seenVersion } = relay.context.board.configurationDocument;
+        const { configurationDocument, evacuations: zones } = relay.context.board;
+        const { document, seenVersion } = configurationDocument;
+        const evacuations = this.relaysKnowZones ? zones.reading : undefined;
         const silentMs = documentSilentMs(relay.context);
         if (!connected()) {
           return;
@@ -388,13 +428,16 @@
           return;
         }
         if (document === undefined || document.version <= (known.documentVersion ?? 0)) {
-          end(PEER_ROUND_TRIP_MS, ok({ document: undefined, seenVersion, silentMs }));
+          end(PEER_ROUND_TRIP_MS, ok({ document: undefined, seenVersion, silentMs, evacuations }));
           return;
         }
         const { nowMs } = this.timeline;
         relay.uplinkBusyUntilMs = Math.max(relay.uplinkBusyUntilMs, nowMs) + COMPRESSED_TRANSFER_MS;
         const transferMs = relay.uplinkBusyUntilMs - nowMs;
-        end(PEER_ROUND_TRIP_MS + transferMs, ok({ document, seenVersion, silentMs: silentMs + transferMs }));
+        end(
+          PEER_ROUND_TRIP_MS + transferMs,
+          ok({ document, seenVersion, silentMs: silentMs + transferMs, evacuations }),
+        );
       };
       relay.pendingPolls.add(reset);
       relay.run(() => {
@@ -402,7 +445,12 @@
           'poll',
           (function* () {
             const deadlineMs = relay.context.loop.nowMs() + waitMs;
-            yield* waitForNewerDocument(relay.context, known.documentVersion ?? 0, deadlineMs);
+            yield* waitForNewerDocument(
+              relay.context,
+              known.documentVersion ?? 0,
+              deadlineMs,
+              known.evacuations?.version ?? 0,
+            );
             reply();
           })(),
         );
--- a/packages/gateway/src/configuration/configurationFollower.ts
+++ b/packages/gateway/src/configuration/configurationFollower.ts
@@ -272,8 +272,9 @@
   }
 
   private known(): KnownDocument {
-    const { document, seenVersion } = this.context.board.configurationDocument;
-    return { documentVersion: document?.version, seenVersion };
+    const { configurationDocument, evacuations } = this.context.board;
+    const { document, seenVersion } = configurationDocument;
+    return { documentVersion: document?.version, seenVersion, evacuations: evacuations.reading };
   }
 
   private record(reading: DocumentReading, relay: string | undefined): void {
--- a/packages/gateway/src/configuration/types.ts
+++ b/packages/gateway/src/configuration/types.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'neverthrow';
+import type { EvacuationReading } from '../evacuation/evacuationState.ts';
 import type { RouterEntry } from '../types.ts';
 
 /** The operator's configuration document as it was written. Its format is opaque to this package. */
@@ -16,18 +17,21 @@
   readonly seenVersion: number;
   /** Time since the store last replied to the router that read it. */
   readonly silentMs: number;
+  /** The evacuated zones; undefined in the reply of a relay that does not know them. */
+  readonly evacuations?: EvacuationReading | undefined;
 }
 
 /** What the reader has already; undefined where it has nothing. */
 export interface KnownDocument {
   readonly documentVersion: number | undefined;
   readonly seenVersion: number | undefined;
+  readonly evacuations: EvacuationReading | undefined;
 }
 
 /** Reads the configuration document from the store. */
 export interface DocumentStorePort {
   /**
-   * Waits up to `waitMs` for a document that is newer than the known one.
+   * Waits up to `waitMs` for a document that is newer than the known one, or a change of the evacuated zones.
    *
    * @param onProgress called when the reply begins and while it arrives.
    */
@@ -41,7 +45,7 @@
 /** Reads the configuration document from another router. */
 export interface DocumentRelayPort {
   /**
-   * Waits up to `waitMs` for a document that is newer than the known one. The value is undefined if the relay has not
+   * Waits up to `waitMs` for a newer document than the known one or a newer set of evacuated zones. The value is undefined if the relay has not
    * read the document yet.
    */
   poll(
--- a/packages/gateway/src/http/__tests__/peerDocuments.test.ts
+++ b/packages/gateway/src/http/__tests__/peerDocuments.test.ts
@@ -58,7 +58,11 @@
   recordReading(context, { document: { version, text }, seenVersion: version, silentMs: 0 });
 };
 
-const known = (documentVersion: number | undefined) => ({ documentVersion, seenVersion: documentVersion });
+const known = (documentVersion: number | undefined) => ({
+  documentVersion,
+  seenVersion: documentVersion,
+  evacuations: undefined,
+});
 
 test('a follower gets the text that the operator wrote, with its version', async () => {
   const context = createContext();
--- a/packages/gateway/src/http/__tests__/peerLoans.test.ts
+++ b/packages/gateway/src/http/__tests__/peerLoans.test.ts
@@ -15,7 +15,10 @@
 board.configuration = board.configuration && {
   ...board.configuration,
   organisations: new Map([
-    [ORGANISATION, { name: ORGANISATION, keys: [], priority: undefined, tokenBudget: 1_000 }],
+    [
+      ORGANISATION,
+      { name: ORGANISATION, keys: [], priority: undefined, tokenBudget: 1_000, allowedRegions: [] },
+    ],
   ]),
 };
 const server = createPeerServer({
--- a/packages/gateway/src/http/peerDocuments.ts
+++ b/packages/gateway/src/http/peerDocuments.ts
@@ -15,6 +15,7 @@
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { RouterEntry } from '../types.ts';
+import { decodeEvacuations, encodeEvacuations, ZONES_VERSION_PARAMETER } from './evacuationHeaders.ts';
 import { ProgressTimeout } from './progressTimeout.ts';
 import type { FetchedResponse } from './fetchResponse.ts';
 import { fetchResponse } from './fetchResponse.ts';
@@ -45,7 +46,7 @@
 
   async poll(
     relay: RouterEntry,
-    { documentVersion }: KnownDocument,
+    { documentVersion, evacuations }: KnownDocument,
     waitMs: number,
   ): Promise<Result<DocumentReading | undefined, string>> {
     const timeout = new ProgressTimeout({
@@ -56,6 +57,7 @@
     const query = new URLSearchParams({
       [NEWER_THAN_PARAMETER]: String(documentVersion ?? 0),
       [WAIT_PARAMETER]: String(Math.round(waitMs)),
+      [ZONES_VERSION_PARAMETER]: String(evacuations?.version ?? 0),
     });
     try {
       let respondedAtMs: number | undefined;
@@ -94,15 +96,16 @@
     return ok(undefined);
   }
   const silentMs = relaySilentMs + transferMs;
+  const evacuations = decodeEvacuations(headers);
   if (status === 204) {
-    return ok({ document: undefined, seenVersion, silentMs });
+    return ok({ document: undefined, seenVersion, silentMs, evacuations });
   }
   const version = decodeNumber(headers[DOCUMENT_VERSION_HEADER]);
   if (version === undefined) {
     return err(`the relay's reply has no ${DOCUMENT_VERSION_HEADER}`);
   }
   const text = (await gunzipAsync(body, { maxOutputLength: MAX_DOCUMENT_BYTES })).toString('utf8');
-  return ok({ document: { version, text }, seenVersion, silentMs });
+  return ok({ document: { version, text }, seenVersion, silentMs, evacuations });
 }
 
 /** Passes the configuration document of this router on to its peers. */
@@ -128,20 +131,27 @@
     if (newerThan === undefined || waitMs === undefined) {
       return false;
     }
+    // Absent in the poll of a router of an older build, which does not read the zones.
+    const zonesVersion = decodeNumber(parameters.get(ZONES_VERSION_PARAMETER));
     this.context.loop.spawn(
       'configuration poll',
-      this.holdPoll(newerThan, Math.min(waitMs, MAX_WAIT_MS), response),
+      this.holdPoll({ newerThan, zonesVersion }, Math.min(waitMs, MAX_WAIT_MS), response),
     );
     return true;
   }
 
-  private *holdPoll(newerThan: number, waitMs: number, response: ServerResponse): Task<void> {
+  private *holdPoll(
+    { newerThan, zonesVersion }: { newerThan: number; zonesVersion: number | undefined },
+    waitMs: number,
+    response: ServerResponse,
+  ): Task<void> {
     const { board, loop } = this.context;
-    const document = yield* waitForNewerDocument(this.context, newerThan, loop.nowMs() + waitMs);
+    const deadlineMs = loop.nowMs() + waitMs;
+    const document = yield* waitForNewerDocument(this.context, newerThan, deadlineMs, zonesVersion);
     // Taken before the compression: the document that is sent must be the newest of this version of the store.
     const { seenVersion } = board.configurationDocument;
     const body = document === undefined ? undefined : yield* loop.settled(this.compress(document));
-    const headers: Record<string, string | number> = {};
+    const headers: Record<string, string | number> = encodeEvacuations(board.evacuations.reading);
     const silentMs = documentSilentMs(this.context);
     if (seenVersion !== undefined && silentMs !== undefined) {
       headers[SEEN_VERSION_HEADER] = seenVersion;
--- a/packages/gateway/src/membership/entryAddresses.ts
+++ b/packages/gateway/src/membership/entryAddresses.ts
@@ -18,6 +18,8 @@
   readonly region?: string | undefined;
   /** Its network address. */
   readonly host?: string | undefined;
+  /** Regions that the routes of the requested host allow; undefined if none of them is restricted. */
+  readonly allowedRegions?: ReadonlySet<string> | undefined;
 }
 
 export interface EntryAddressOptions {
@@ -36,10 +38,16 @@
   return evaluatedAtMs - Math.max(changedAtMs, recoveredAtMs) <= routerSilentMs;
 }
 
+/** Callers of restricted routes are only sent to routers of their own region or of an allowed one. */
+function mayNameRegion(region: string, { region: ownRegion, allowedRegions }: EntryCaller): boolean {
+  return allowedRegions === undefined || region === ownRegion || allowedRegions.has(region);
+}
+
 /**
  * Returns the addresses of the routers that a caller may connect to: all routers that are ready and have sent a
  * heartbeat recently. Listing all of them leaves working addresses if an availability zone is lost. In a large fleet
  * only those of the caller's region are listed, so that requests do not cross the narrow link between regions twice.
+ * Empty if no router may be named.
  *
  * @param store times of the store's replies. While the store is unreachable, rows cannot change; a router is therefore
  *   only considered silent after a period during which the store replied without interruption.
@@ -63,7 +71,9 @@
         isRecentRouter(view, nowMs, store, options),
     )
     .map(({ entry }) => entry);
-  const candidates = selfReady ? [self, ...others] : others;
+  const candidates = (selfReady ? [self, ...others] : others).filter(({ region }) =>
+    mayNameRegion(region, caller),
+  );
   const ofRegion = candidates.filter(({ region }) => region === caller.region);
   const zoneCount = new Set(ofRegion.map(({ availabilityZone }) => availabilityZone)).size;
   const chosen = ofRegion.length >= MIN_ROUTERS_OF_REGION && zoneCount > 1 ? ofRegion : candidates;
--- a/packages/gateway/src/money/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -88,7 +88,16 @@
       routes: [],
       services: new Map(),
       organisations: new Map([
-        [ORGANISATION, { name: ORGANISATION, keys: [], priority: undefined, tokenBudget: budgetTokens }],
+        [
+          ORGANISATION,
+          {
+            name: ORGANISATION,
+            keys: [],
+            priority: undefined,
+            tokenBudget: budgetTokens,
+            allowedRegions: [],
+          },
+        ],
       ]),
       requiresKeys: true,
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -33,6 +33,7 @@
   anonymous: true,
   resumable: false,
   targets: [{ serviceName: 'orders', weight: 1 }],
+  allowedRegions: [],
 };
 
 export const RESPONSE_HEAD: UpstreamResponseHead = {
@@ -119,7 +120,9 @@
     board.configuration = {
       version: 1,
       routes,
-      services: new Map([['orders', { name: 'orders', maxConnections: 10, engine: undefined }]]),
+      services: new Map([
+        ['orders', { name: 'orders', maxConnections: 10, engine: undefined, warmup: undefined }],
+      ]),
       organisations: new Map(),
       requiresKeys: false,
       limits: { maxHeaderBytes: 1_024, maxBodyBytes: 1_024, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
--- a/packages/gateway/src/requests/localReplies.ts
+++ b/packages/gateway/src/requests/localReplies.ts
@@ -11,6 +11,8 @@
   BudgetExhausted = 'budget-exhausted',
   ShareShort = 'share-short',
   NoUpstream = 'no-upstream',
+  ZonesEvacuated = 'zones-evacuated',
+  NoAllowedRegion = 'no-allowed-region',
   UpstreamsBusy = 'upstreams-busy',
   UpstreamRefused = 'upstream-refused',
   UpstreamFailed = 'upstream-failed',
@@ -48,6 +50,14 @@
     status: 503,
     detail: 'No upstream of the service can be used now. Send the request again.',
   },
+  [LocalReplyReason.ZonesEvacuated]: {
+    status: 503,
+    detail: 'The other upstreams of the service are in evacuated zones. Send the request again later.',
+  },
+  [LocalReplyReason.NoAllowedRegion]: {
+    status: 503,
+    detail: 'The route and the organisation have no allowed region in common.',
+  },
   [LocalReplyReason.UpstreamsBusy]: {
     status: 503,
     detail: 'All upstreams of the service ask for time. Send the request again after the given time.',
--- a/packages/gateway/src/requests/retryDelay.ts
+++ b/packages/gateway/src/requests/retryDelay.ts
@@ -27,6 +27,8 @@
     case LocalReplyReason.BudgetExhausted:
     case LocalReplyReason.ShareShort:
     case LocalReplyReason.NoUpstream:
+    case LocalReplyReason.ZonesEvacuated:
+    case LocalReplyReason.NoAllowedRegion:
     case LocalReplyReason.UpstreamsBusy:
     case LocalReplyReason.UpstreamRefused:
     case LocalReplyReason.UpstreamFailed:
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -1,6 +1,7 @@
 import type { AttemptRecord, Task } from '@pimentostall/core';
 import { AttemptState, receive } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
+import { recordAttemptEnd } from '../evacuation/recordEvacuations.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
 import { recordLeaving } from '../placement/recordLeaving.ts';
@@ -65,6 +66,7 @@
     view.unsentAttempts.delete(progress.withdrawUnsent);
     view.inFlight -= 1;
     endPrefill(progress);
+    recordAttemptEnd(context, view);
   }
 }
 
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -12,12 +12,16 @@
 import { LogLevel } from '../observability/log.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
 import { chooseUpstream, soonestResumeAtMs } from '../placement/chooseUpstream.ts';
+import { permittedUpstreams } from '../placement/permittedUpstreams.ts';
 import { getOrCreateRetryBudget, tryReserveRetry } from '../retries/reserveRetry.ts';
 import { chooseService } from '../routing/routeTable.ts';
-import type { AttemptOutcome, AttemptResult } from './attemptProgress.ts';
+import type { AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd } from './attemptProgress.ts';
 import { LocalReplyReason, createLocalReply } from './localReplies.ts';
+import { logAttempt } from './logAttempt.ts';
 import type { CallerExchange } from './ports.ts';
+import type { RestrictedRefusal } from './refuseRestricted.ts';
+import { refuseRestricted } from './refuseRestricted.ts';
 import { resumeDelayMs, retryDelayMs } from './retryDelay.ts';
 import { runAttempt } from './runAttempt.ts';
 import type { ServedRequest } from './servedRequest.ts';
@@ -91,6 +95,7 @@
       route,
       service,
       organisationName: route.anonymous ? undefined : organisationName,
+      keyOwner: organisationName,
       configurationVersion: configuration.version,
       deadlineAtMs: exchange.arrivedAtMs + waitMs,
       attempts: [],
@@ -115,6 +120,11 @@
       finishWithheld(context, request, withheld);
       return;
     }
+    const refusal = refuseRestricted(context, request);
+    if (refusal !== undefined) {
+      finishRestricted(context, request, refusal);
+      return;
+    }
     const rejectionReason = yield* reserve(context, request);
     if (rejectionReason !== undefined) {
       finish(context, request.exchange, request, rejectionReason, 'no tokens could be reserved', {
@@ -243,7 +253,7 @@
       excluded: request.triedUpstreams,
       spreadKey: request.endedEngine ? request.requestId : undefined,
     },
-    context.board.upstreams.values(),
+    permittedUpstreams(context, request),
     context.location,
     context.loop.nowMs(),
     context.options.placement,
@@ -285,10 +295,15 @@
 }
 
 function finishUnplaced(context: GatewayContext, request: ServedRequest): void {
-  const { board, loop, random } = context;
+  const { loop, random } = context;
   const nowMs = loop.nowMs();
-  const resumesAtMs = soonestResumeAtMs(request.service.name, board.upstreams.values(), nowMs);
+  const resumesAtMs = soonestResumeAtMs(request.service.name, permittedUpstreams(context, request), nowMs);
   if (resumesAtMs === undefined) {
+    const refusal = refuseRestricted(context, request);
+    if (refusal !== undefined) {
+      finishRestricted(context, request, refusal);
+      return;
+    }
     const reason =
       request.attempts.length === 0 ? LocalReplyReason.NoUpstream : LocalReplyReason.UpstreamFailed;
     finish(context, request.exchange, request, reason, 'no other upstream available');
@@ -315,6 +330,14 @@
   readonly retryAfterMs?: number;
 }
 
+function finishRestricted(
+  context: GatewayContext,
+  request: ServedRequest,
+  { reason, detail, fields }: RestrictedRefusal,
+): void {
+  finish(context, request.exchange, request, reason, detail, { fields });
+}
+
 function finishWithheld(
   context: GatewayContext,
   request: ServedRequest,
@@ -382,39 +405,3 @@
 function elapsedMs(exchange: CallerExchange, atMs: number | undefined): number | undefined {
   return atMs === undefined ? undefined : Math.round(atMs - exchange.arrivedAtMs);
 }
-
-function logAttempt(
-  context: GatewayContext,
-  request: ServedRequest,
-  placement: Placement,
-  result: AttemptOutcome,
-): void {
-  const isRoutine = result.end === AttemptEnd.Answered || result.end === AttemptEnd.CallerDisconnected;
-  context.log(isRoutine ? LogLevel.Debug : LogLevel.Info, 'attempt ended', {
-    requestId: request.requestId,
-    attempt: request.attempts.length,
-    upstream: placement.upstream.entry.upstreamId,
-    address: placement.upstream.entry.address,
-    end: result.end,
-    detail: result.detail,
-    expectedCostMs: Math.round(placement.costMs),
-    uncachedTokens: Math.round(placement.uncachedTokens),
-    upstreamInFlight: placement.upstream.inFlight,
-    ...(isRoutine ? {} : attemptPhaseFields(context, request, result)),
-  });
-}
-
-/** Log fields that tell which phase an attempt reached and which prompt it held, for comparing attempts that failed together. */
-function attemptPhaseFields(
-  { loop }: GatewayContext,
-  { exchange }: ServedRequest,
-  { sentAtMs, firstEventAtMs }: AttemptOutcome,
-): Readonly<Record<string, unknown>> {
-  const sinceMs = (atMs: number | undefined): number | undefined =>
-    atMs === undefined ? undefined : Math.round(loop.nowMs() - atMs);
-  return {
-    sinceSentMs: sinceMs(sentAtMs),
-    sinceFirstEventMs: sinceMs(firstEventAtMs),
-    promptParts: exchange.head.promptParts.map(({ partId }) => partId),
-  };
-}
--- a/packages/gateway/src/requests/servedRequest.ts
+++ b/packages/gateway/src/requests/servedRequest.ts
@@ -21,6 +21,8 @@
   readonly route: Route;
   readonly service: ServiceDefinition;
   readonly organisationName: string | undefined;
+  /** Organisation whose key the request has, also on a route that needs none. */
+  readonly keyOwner: string | undefined;
   readonly configurationVersion: number;
   /** Monotonic time of the earlier of the caller's deadline and the route's timeout. */
   readonly deadlineAtMs: number;
--- a/packages/gateway/src/routing/routeTable.ts
+++ b/packages/gateway/src/routing/routeTable.ts
@@ -37,6 +37,11 @@
     }
     return undefined;
   }
+
+  /** Returns the routes of a host, with or without a port. */
+  routesOf(host: string): Iterable<Route> {
+    return this.routesByHost.get(hostnameOf(host))?.values() ?? [];
+  }
 }
 
 function hostnameOf(host: string): string {
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -33,6 +33,8 @@
   /** An interrupted stream may resume on another engine after its last complete event. */
   readonly resumable: boolean;
   readonly targets: readonly WeightedService[];
+  /** Names of the regions whose upstreams may execute its requests; empty if it does not restrict them. */
+  readonly allowedRegions: readonly string[];
 }
 
 /** Limits of a model engine, as configured for its service. */
@@ -45,12 +47,20 @@
   readonly maxCacheFollowers: number;
 }
 
+/** Load that an upstream tolerates for a time after its start. */
+export interface Warmup {
+  readonly durationMs: number;
+  readonly requestsPerSecond: number;
+}
+
 export interface ServiceDefinition {
   readonly name: string;
   /** Maximum number of connections that one upstream accepts from all its clients together. */
   readonly maxConnections: number;
   /** Undefined for a plain service. */
   readonly engine: EngineLimits | undefined;
+  /** Undefined if its upstreams need no warm-up. */
+  readonly warmup: Warmup | undefined;
 }
 
 export interface Organisation {
@@ -59,6 +69,8 @@
   readonly priority: number | undefined;
   /** Total number of tokens that the organisation may consume; undefined if it has no budget. */
   readonly tokenBudget: number | undefined;
+  /** Names of the regions whose upstreams may execute its requests; empty if it does not restrict them. */
+  readonly allowedRegions: readonly string[];
 }
 
 export interface IngressLimits {
