--- a/packages/gateway/src/configuration/__tests__/simulatedRouters.ts
+++ b/packages/gateway/src/configuration/__tests__/simulatedRouters.ts
@@ -253,23 +253,6 @@
     }
   }
 
-  /** Runs until all the given routers know the evacuated zones of the store; returns the time that it took. */
-  async zonesSpreadMs(limitMs: number, routers = this.routers): Promise<number> {
-    const startedAtMs = this.timeline.nowMs;
-    const expected = this.zones.join();
-    const late = (): SimulatedRouter[] =>
-      routers.filter(({ context }) => [...context.board.evacuations.zones].join() !== expected);
-    while (late().length > 0 && this.timeline.nowMs - startedAtMs < limitMs) {
-      await this.advance(50);
-    }
-    assert.deepEqual(
-      late().map(({ index }) => index),
-      [],
-      `the zones are not known everywhere after ${limitMs} ms`,
-    );
-    return this.timeline.nowMs - startedAtMs;
-  }
-
   /** Other rows change, and the store discards the history before them. */
   truncateHistory(): void {
     this.storeVersion += 1_000;
--- a/packages/gateway/src/evacuation/__tests__/evacuationSpread.test.ts
+++ b/packages/gateway/src/evacuation/__tests__/evacuationSpread.test.ts
@@ -19,6 +19,35 @@
   return fleet;
 }
 
+/** Evacuates exactly these zones and waits until the routers know them; returns the time that it took. */
+async function evacuate(
+  fleet: SimulatedRouters,
+  zones: readonly string[],
+  { limitMs, routers = fleet.routers }: { limitMs: number; routers?: readonly SimulatedRouter[] },
+): Promise<number> {
+  fleet.evacuate(zones);
+  return waitForZones(fleet, zones, { limitMs, routers });
+}
+
+async function waitForZones(
+  fleet: SimulatedRouters,
+  zones: readonly string[],
+  { limitMs, routers = fleet.routers }: { limitMs: number; routers?: readonly SimulatedRouter[] },
+): Promise<number> {
+  const startedAtMs = fleet.timeline.nowMs;
+  const late = (): SimulatedRouter[] =>
+    routers.filter(({ context }) => [...context.board.evacuations.zones].join() !== zones.join());
+  while (late().length > 0 && fleet.timeline.nowMs - startedAtMs < limitMs) {
+    await fleet.advance(50);
+  }
+  assert.deepEqual(
+    late().map(({ index }) => index),
+    [],
+    `the zones are not known everywhere after ${limitMs} ms`,
+  );
+  return fleet.timeline.nowMs - startedAtMs;
+}
+
 function farRelays(fleet: SimulatedRouters): SimulatedRouter[] {
   const context = fleet.routers[1]?.context;
   assert.ok(context !== undefined);
@@ -29,8 +58,7 @@
   test(`${routerCount} routers learn of evacuations and of their ends in time`, async () => {
     const fleet = await startFleet(1, routerCount);
     for (const zones of [['near-0'], ['near-0', 'far-1'], ['far-1'], []]) {
-      fleet.evacuate(zones);
-      const spreadMs = await fleet.zonesSpreadMs(BOUND_MS);
+      const spreadMs = await evacuate(fleet, zones, { limitMs: BOUND_MS });
       assert.ok(spreadMs <= 2_000, `${spreadMs} ms`);
       await fleet.advance(700);
     }
@@ -57,9 +85,8 @@
     fleet.kill(dead.index);
     cutOff.storeReachable = false;
     await fleet.advance((seed - 10) * 250);
-    fleet.evacuate(['far-2']);
     const routers = fleet.routers.filter((router) => !broken.includes(router));
-    const spreadMs = await fleet.zonesSpreadMs(RELAYED_BOUND_MS, routers);
+    const spreadMs = await evacuate(fleet, ['far-2'], { limitMs: RELAYED_BOUND_MS, routers });
     assert.ok(spreadMs <= RELAYED_BOUND_MS, `${spreadMs} ms`);
   }
 });
@@ -71,14 +98,12 @@
   for (const router of cutOff) {
     router.storeReachable = false;
   }
-  fleet.evacuate(['far-0']);
-  await fleet.zonesSpreadMs(RELAYED_BOUND_MS, [...cutOff, ...relays]);
+  await evacuate(fleet, ['far-0'], { limitMs: RELAYED_BOUND_MS, routers: [...cutOff, ...relays] });
 });
 
 test('during an outage of the store the zones stay as they were, and after it they are the current ones', async () => {
   const fleet = await startFleet(21);
-  fleet.evacuate(['near-0', 'far-0']);
-  await fleet.zonesSpreadMs(BOUND_MS);
+  await evacuate(fleet, ['near-0', 'far-0'], { limitMs: BOUND_MS });
   for (const router of fleet.routers) {
     router.storeReachable = false;
   }
@@ -91,13 +116,12 @@
   for (const router of fleet.routers) {
     router.storeReachable = true;
   }
-  await fleet.zonesSpreadMs(BOUND_MS);
+  await waitForZones(fleet, ['far-0'], { limitMs: BOUND_MS });
 });
 
 test('a router that starts knows the evacuated zones once it has a document', async () => {
   const fleet = await startFleet(22);
-  fleet.evacuate(['far-0']);
-  await fleet.zonesSpreadMs(BOUND_MS);
+  await evacuate(fleet, ['far-0'], { limitMs: BOUND_MS });
   for (const index of [1, 2, 31, 40]) {
     fleet.kill(index);
     fleet.start(index);
@@ -112,8 +136,7 @@
 
 test('relays of an older build leave their followers what they know, and new ones bring it up to date', async () => {
   const fleet = await startFleet(23);
-  fleet.evacuate(['far-0']);
-  await fleet.zonesSpreadMs(BOUND_MS);
+  await evacuate(fleet, ['far-0'], { limitMs: BOUND_MS });
   fleet.relaysKnowZones = false;
   fleet.evacuate([]);
   await fleet.spreadMs(fleet.put(), RELAYED_BOUND_MS);
@@ -125,5 +148,5 @@
     assert.deepEqual([...context.board.evacuations.zones], ['far-0']);
   }
   fleet.relaysKnowZones = true;
-  await fleet.zonesSpreadMs(RELAYED_BOUND_MS);
+  await waitForZones(fleet, [], { limitMs: RELAYED_BOUND_MS });
 });
--- a/packages/gateway/src/http/__tests__/peerDocuments.test.ts
+++ b/packages/gateway/src/http/__tests__/peerDocuments.test.ts
@@ -8,6 +8,7 @@
 import { createBlackboard } from '../../blackboard.ts';
 import { recordReading } from '../../configuration/documentState.ts';
 import type { GatewayContext } from '../../context.ts';
+import { GatewayMetrics } from '../../observability/metrics.ts';
 import { TaskLoop } from '../../runtime/taskLoop.ts';
 import type { RouterEntry } from '../../types.ts';
 import { DocumentRelay, PeerDocuments } from '../peerDocuments.ts';
@@ -37,7 +38,13 @@
     },
   );
   // The server uses no other part of the context.
-  return { board: createBlackboard(), loop, log: () => undefined } as unknown as GatewayContext;
+  return {
+    board: createBlackboard(),
+    loop,
+    log: () => undefined,
+    metrics: new GatewayMetrics(),
+    location: { availabilityZone: 'z', region: 'r', regionOf: () => 'r' },
+  } as unknown as GatewayContext;
 }
 
 async function listen(server: Server): Promise<RouterEntry> {
@@ -177,3 +184,84 @@
   });
   assert.deepEqual(await loan.body.json(), { tokens: 0 });
 });
+
+const recordZones = (context: GatewayContext, version: number, zones: readonly string[]): void => {
+  recordReading(context, {
+    document: undefined,
+    seenVersion: version,
+    silentMs: 0,
+    evacuations: { zones, version },
+  });
+};
+
+test('a change of the evacuated zones ends a waiting poll, and each reply has the complete set', async () => {
+  const context = createContext();
+  const relay = await listen(createPeerServer(context));
+  record(context, 4, 'text');
+  recordZones(context, 4, []);
+  const client = new PeerDocuments();
+  const knownAt = (version: number, zones: readonly string[]) => ({
+    documentVersion: 4,
+    seenVersion: version,
+    evacuations: { zones, version },
+  });
+  const startedAtMs = performance.now();
+  const poll = client.poll(relay, knownAt(4, []), 1_500);
+  setTimeout(() => {
+    recordZones(context, 6, ['b "ö', 'z,1']);
+  }, 50);
+  const expected = { zones: ['b "ö', 'z,1'], version: 6 };
+  assert.deepEqual((await poll)._unsafeUnwrap()?.evacuations, expected);
+  assert.ok(performance.now() - startedAtMs < 1_000);
+  // A follower that missed the change learns of it at once, and one that knows it waits.
+  assert.deepEqual((await client.poll(relay, knownAt(5, []), 1_500))._unsafeUnwrap()?.evacuations, expected);
+  assert.ok(performance.now() - startedAtMs < 1_000);
+  recordZones(context, 9, expected.zones);
+  const waitedSinceMs = performance.now();
+  const unchanged = (await client.poll(relay, knownAt(6, expected.zones), 100))._unsafeUnwrap();
+  assert.deepEqual(unchanged?.evacuations, { ...expected, version: 9 });
+  assert.ok(performance.now() - waitedSinceMs >= 95);
+  assert.equal(context.board.configurationDocument.waiters.size, 0);
+});
+
+test('the poll of a router of an older build is not ended by evacuated zones that it does not read', async () => {
+  // Guards against polls in a busy loop.
+  const context = createContext();
+  const { peerAddress } = await listen(createPeerServer(context));
+  record(context, 4, 'text');
+  recordZones(context, 5, ['z']);
+  const startedAtMs = performance.now();
+  const response = await request(`http://${peerAddress}/configuration?newer-than=4&wait-ms=100`);
+  assert.equal(response.statusCode, 204);
+  await response.body.dump();
+  assert.ok(performance.now() - startedAtMs >= 95);
+});
+
+test('replies without evacuated zones, or with malformed ones, leave them unknown', async () => {
+  const headers: Record<string, string>[] = [
+    {},
+    { 'evacuated-zones': 'z' },
+    { 'evacuated-zones': 'z', 'evacuated-zones-version': '-1' },
+    { 'evacuated-zones': '%', 'evacuated-zones-version': '7' },
+    { 'evacuated-zones-version': '7' },
+  ];
+  for (const zoneHeaders of headers) {
+    const relay = await listen(
+      createServer((_message, response) => {
+        response.writeHead(204, { 'seen-version': 5, 'silent-ms': 0, ...zoneHeaders }).end();
+      }),
+    );
+    const reading = (await new PeerDocuments().poll(relay, known(1), 0))._unsafeUnwrap();
+    assert.equal(reading?.seenVersion, 5);
+    assert.equal(reading.evacuations, undefined);
+  }
+});
+
+test('a relay that does not know the evacuated zones does not pretend that there are none', async () => {
+  const context = createContext();
+  const relay = await listen(createPeerServer(context));
+  record(context, 4, 'text');
+  const reading = (await new PeerDocuments().poll(relay, known(1), 0))._unsafeUnwrap();
+  assert.equal(reading?.document?.version, 4);
+  assert.equal(reading.evacuations, undefined);
+});
--- a/packages/gateway/src/membership/__tests__/entryAddresses.test.ts
+++ b/packages/gateway/src/membership/__tests__/entryAddresses.test.ts
@@ -101,3 +101,25 @@
   // Each is named to 96 callers in the mean.
   assert.ok([...named.values()].every((count) => count > 48 && count < 144));
 });
+
+test('callers of a restricted host are sent to routers of their own region or of an allowed one', () => {
+  const inRegion = (region: string, count: number): RouterView[] =>
+    Array.from({ length: count }, (_, index) => {
+      const view = router(`${region}-${index}`, true, 0);
+      return { ...view, entry: { ...view.entry, region, availabilityZone: `zone-${index % 3}` } };
+    });
+  const choose = (counts: Readonly<Record<string, number>>, region?: string): Set<string> => {
+    const routers = Object.entries(counts).flatMap(([name, count]) => inRegion(name, count));
+    const caller = { region, allowedRegions: new Set(['y']) };
+    const addresses = chooseEntryAddresses(self, true, routers, 100, storeReplyTimes(100), options, caller);
+    return new Set(addresses.map((address) => (address === 'self:1' ? 'x' : (address[0] ?? ''))));
+  };
+  assert.deepEqual(choose({ x: 3, y: 3, w: 3 }, 'x'), new Set(['x', 'y']));
+  assert.deepEqual(choose({ x: 3, y: 3, w: 3 }, 'w'), new Set(['y', 'w']));
+  assert.deepEqual(choose({ x: 3, y: 3, w: 3 }, 'y'), new Set(['y']));
+  assert.deepEqual(choose({ x: 3, y: 3, w: 3 }), new Set(['y']));
+  // A large own region keeps its callers, as without a restriction.
+  assert.deepEqual(choose({ x: 12, y: 12 }, 'x'), new Set(['x']));
+  // Without a router that may be named, the response names none.
+  assert.deepEqual(choose({ x: 3 }, 'w'), new Set());
+});
--- a/packages/gateway/src/requests/refuseRestricted.ts
+++ b/packages/gateway/src/requests/refuseRestricted.ts
@@ -32,14 +32,15 @@
     ({ entry }) =>
       !request.triedUpstreams.has(entry.upstreamId) || board.evacuations.zones.has(entry.availabilityZone),
   );
+  if (restriction === ServiceRestriction.None) {
+    return undefined;
+  }
   const regions = requestRegions(context, request);
   const fields = {
     ...(regions === undefined ? {} : { allowedRegions: [...regions] }),
     ...(board.evacuations.zones.size === 0 ? {} : { evacuatedZones: [...board.evacuations.zones] }),
   };
   switch (restriction) {
-    case ServiceRestriction.None:
-      return undefined;
     case ServiceRestriction.NoAllowedRegion:
       metrics.count('pimentostall_requests_refused_by_region_total', 'reason="no-common-region"');
       return {
