--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -115,16 +115,16 @@
 function* serveAdmitted(context: GatewayContext, request: ServedRequest): Task<void> {
   getOrCreateRetryBudget(context, request.service.name).recordRequest(context.loop.nowMs());
   try {
-    const withheld = checkQuarantine(context, request);
-    if (withheld !== undefined) {
-      finishWithheld(context, request, withheld);
-      return;
-    }
     const refusal = refuseRestricted(context, request);
     if (refusal !== undefined) {
       finishRestricted(context, request, refusal);
       return;
     }
+    const withheld = checkQuarantine(context, request);
+    if (withheld !== undefined) {
+      finishWithheld(context, request, withheld);
+      return;
+    }
     const rejectionReason = yield* reserve(context, request);
     if (rejectionReason !== undefined) {
       finish(context, request.exchange, request, rejectionReason, 'no tokens could be reserved', {
