Let home routers draw in advance and the others live on loans

In a large fleet, all routers changed the totals of nearly all organisations, so that most changes conflicted and requests were refused while the budgets were almost unused. Home routers now draw for an assumed demand before the first request; the others borrow from them, in amounts for their next seconds, and change no totals.

A change of the share row that raised no limit was written again every 15 ms while a request waited for tokens that were not there; it is left out.

The test of recovered shares compared the granted tokens, which home routers draw again at once; it compares the stranded tokens now.

--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -1,7 +1,8 @@
 import type { DocumentState } from './configuration/documentState.ts';
 import { createDocumentState } from './configuration/documentState.ts';
 import { MembershipCache, RouterRegistry } from './membership/routerRegistry.ts';
-import type { LedgerAccount } from './money/ledgerController.ts';
+import type { LedgerAccount } from './money/account.ts';
+import type { SilentPeers } from './money/lenderOrder.ts';
 import type { PreviousIncarnation } from './money/liveness.ts';
 import { LeavingUpstreams } from './placement/leavingUpstreams.ts';
 import type { UpstreamView } from './placement/upstreamView.ts';
@@ -30,6 +31,8 @@
   /** Ids of the home routers by organisation name. */
   readonly homeRouters: MembershipCache<readonly string[]>;
   readonly accounts: Map<string, LedgerAccount>;
+  /** Peers that did not reply to loan requests; they are asked last. */
+  readonly silentPeers: SilentPeers;
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly quarantine: QuarantineState;
   /** True once the process has received the stop signal. */
@@ -68,6 +71,7 @@
     routers,
     homeRouters: new MembershipCache(routers),
     accounts: new Map(),
+    silentPeers: new Map(),
     retryBudgets: new Map(),
     quarantine: createQuarantineState(quarantine),
     draining: false,
--- a/packages/gateway/src/drain/drainController.ts
+++ b/packages/gateway/src/drain/drainController.ts
@@ -1,7 +1,7 @@
 import type { Task } from '@pimentostall/core';
 import { sleepUntil } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
-import { wakeAccount } from '../money/ledgerController.ts';
+import { wakeAccount } from '../money/account.ts';
 import { LogLevel } from '../observability/log.ts';
 
 /** Interval at which a draining router checks whether all requests have finished. */
--- a/packages/gateway/src/http/peerLoans.ts
+++ b/packages/gateway/src/http/peerLoans.ts
@@ -3,7 +3,7 @@
 import { Agent } from 'undici';
 import type { GatewayContext } from '../context.ts';
 import { openAccount } from '../money/ledgerController.ts';
-import type { LoanCancellation, LoanRequest, PeerPort } from '../money/lending.ts';
+import type { LoanCancellation, LoanReply, LoanRequest, PeerPort } from '../money/lending.ts';
 import { lendTokens, revokeLoan } from '../money/lending.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { RouterEntry } from '../types.ts';
@@ -31,13 +31,19 @@
 
   constructor(private readonly log: GatewayContext['log']) {}
 
-  async borrow(peer: RouterEntry, loan: LoanRequest): Promise<number | undefined> {
+  async borrow(peer: RouterEntry, loan: LoanRequest): Promise<LoanReply | undefined> {
     const reply = (await this.post(this.agent, peer, LOAN_PATH, loan, LOAN_TIMEOUT_MS)) as
-      { tokens?: unknown } | undefined;
+      Partial<Record<keyof LoanReply, unknown>> | undefined;
     if (reply === undefined) {
       return undefined;
     }
-    return isPositiveTokenCount(reply.tokens) ? reply.tokens : 0;
+    // Routers of an older build reply with `tokens` alone.
+    return {
+      tokens: isPositiveTokenCount(reply.tokens) ? reply.tokens : 0,
+      undrawnTokens: decodeAmount(reply.undrawnTokens),
+      heldTokens: decodeAmount(reply.heldTokens) ?? 0,
+      remainingTokens: decodeAmount(reply.remainingTokens),
+    };
   }
 
   async cancel(peer: RouterEntry, cancellation: LoanCancellation): Promise<boolean> {
@@ -104,10 +110,10 @@
   loan: LoanRequest,
   response: ServerResponse,
 ): Task<void> {
-  const tokens = isBudgeted(context, loan.organisationName)
+  const reply: LoanReply = isBudgeted(context, loan.organisationName)
     ? yield* lendTokens(context, openAccount(context, loan.organisationName), loan)
-    : 0;
-  sendJson(response, { tokens });
+    : { tokens: 0, undrawnTokens: undefined, heldTokens: 0, remainingTokens: undefined };
+  sendJson(response, reply);
 }
 
 function isBudgeted({ board }: GatewayContext, organisationName: string): boolean {
@@ -134,10 +140,22 @@
 
 function decodeLoan(text: string): LoanRequest | undefined {
   const cancellation = decodeCancellation(text);
-  const { leastTokens, wantedTokens } = parseLoanFields(text);
-  return cancellation !== undefined && isPositiveTokenCount(leastTokens) && isPositiveTokenCount(wantedTokens)
-    ? { ...cancellation, leastTokens, wantedTokens }
-    : undefined;
+  const { leastTokens, neededTokens, wantedTokens } = parseLoanFields(text);
+  if (
+    cancellation === undefined ||
+    !isPositiveTokenCount(leastTokens) ||
+    !isPositiveTokenCount(wantedTokens)
+  ) {
+    return undefined;
+  }
+  // Routers of an older build do not tell what they need.
+  const isNeedKnown = isPositiveTokenCount(neededTokens) && neededTokens <= wantedTokens;
+  return {
+    ...cancellation,
+    leastTokens,
+    neededTokens: isNeedKnown ? neededTokens : wantedTokens,
+    wantedTokens,
+  };
 }
 
 function decodeCancellation(text: string): LoanCancellation | undefined {
@@ -147,6 +165,11 @@
     : undefined;
 }
 
+/** Returns undefined for anything but a finite amount that is not negative. */
+function decodeAmount(value: unknown): number | undefined {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0 ? value : undefined;
+}
+
 function isPositiveTokenCount(value: unknown): value is number {
   return typeof value === 'number' && Number.isSafeInteger(value) && value > 0;
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,16 +10,12 @@
 export { chooseEntryAddresses } from './membership/entryAddresses.ts';
 export type { RouterView } from './membership/routerRegistry.ts';
 export { MembershipCache, RouterRegistry } from './membership/routerRegistry.ts';
-export type { LedgerAccount } from './money/ledgerController.ts';
-export {
-  handleStoreRecovery,
-  openAccount,
-  reserveTokens,
-  ReserveOutcomeKind,
-  settleTokens,
-  wakeAccount,
-} from './money/ledgerController.ts';
-export type { LoanRequest, PeerPort } from './money/lending.ts';
+export type { LedgerAccount } from './money/account.ts';
+export { settleTokens, wakeAccount } from './money/account.ts';
+export type { BudgetReport } from './money/budgetSight.ts';
+export { handleStoreRecovery, openAccount } from './money/ledgerController.ts';
+export { reserveTokens, ReserveOutcomeKind } from './money/reserveTokens.ts';
+export type { LoanReply, LoanRequest, PeerPort } from './money/lending.ts';
 export { lendTokens } from './money/lending.ts';
 export type { LivenessRecord, LivenessStore, PreviousIncarnation } from './money/liveness.ts';
 export { maintainLivenessRecord, readPreviousIncarnation } from './money/liveness.ts';
--- a/packages/gateway/src/money/__tests__/planShare.test.ts
+++ b/packages/gateway/src/money/__tests__/planShare.test.ts
@@ -11,6 +11,7 @@
   largestRequestTokens: 2_000,
   drawsInAdvance: true,
   demandTokensPerSecond: 5_000,
+  horizonMs: DEFAULT_SHARE_PLAN.horizonMs,
   demandFraction: 0.5,
   budgetTokens: 100_000,
   grantedTokens: 0,
--- a/packages/gateway/src/money/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -1,9 +1,12 @@
 import type { RandomSource } from '@pimentostall/core';
 import type { GatewayContext } from '../../context.ts';
 import { drainRouter } from '../../drain/drainController.ts';
-import { handleStoreRecovery, reserveTokens, ReserveOutcomeKind, settleTokens } from '../ledgerController.ts';
+import { settleTokens } from '../account.ts';
+import { handleStoreRecovery } from '../ledgerController.ts';
+import type { LoanReply } from '../lending.ts';
 import { lendTokens, revokeLoan } from '../lending.ts';
 import type { LivenessRecord } from '../liveness.ts';
+import { reserveTokens, ReserveOutcomeKind } from '../reserveTokens.ts';
 import type { BudgetTotal, LedgerChange, LedgerOutcome, ShareRecord } from '../types.ts';
 import { EMPTY_TOTAL, LedgerOutcomeKind } from '../types.ts';
 import { ORGANISATION, SimulatedRouter } from './simulatedRouter.ts';
@@ -77,6 +80,11 @@
     return this.total?.value.grantedTokens ?? 0;
   }
 
+  /** Tokens of terminated incarnations that may have been spent without being reported. */
+  get strandedTokens(): number {
+    return this.total?.value.strandedTokens ?? 0;
+  }
+
   routerIndexes(): number[] {
     return this.modes.map((_, index) => index);
   }
@@ -209,8 +217,9 @@
       context.loop.spawn(
         'request',
         (function* () {
+          const untilMs = context.loop.nowMs() + 200;
           const outcome = yield* reserveTokens(context, account, tokens, {
-            waitUntilMs: context.loop.nowMs() + 200,
+            waitUntilMs: () => untilMs,
             forLoan: false,
           });
           if (outcome === ReserveOutcomeKind.Reserved) {
@@ -261,19 +270,19 @@
     borrower: SimulatedRouter,
     lenderId: string,
     request: Parameters<GatewayContext['peerPort']['borrow']>[1],
-  ): Promise<number | undefined> {
+  ): Promise<LoanReply | undefined> {
     const lender = this.routerProcesses.find((candidate) => candidate?.context.self.routerId === lenderId);
     const account = lender?.context.board.accounts.get(ORGANISATION);
     return new Promise((resolve) => {
-      const answer = (tokens: number | undefined): void => {
+      const answer = (reply: LoanReply | undefined): void => {
         this.timeline.schedule(1, () => {
           borrower.run(() => {
-            resolve(tokens);
+            resolve(reply);
           });
         });
       };
       if (lender?.alive !== true || account === undefined || this.random() < 0.1) {
-        answer(0);
+        answer({ tokens: 0, undrawnTokens: undefined, heldTokens: 0, remainingTokens: undefined });
         return;
       }
       const lose = this.random() < 0.1;
@@ -284,9 +293,9 @@
         lender.context.loop.spawn(
           'loan',
           (function* () {
-            const tokens = yield* lendTokens(lender.context, account, request);
-            recordLost(lose ? tokens : 0);
-            answer(lose ? undefined : tokens);
+            const reply = yield* lendTokens(lender.context, account, request);
+            recordLost(lose ? reply.tokens : 0);
+            answer(lose ? undefined : reply);
           })(),
         );
       });
--- /dev/null
+++ b/packages/gateway/src/money/account.ts
@@ -0,0 +1,97 @@
+import type { Channel } from '@pimentostall/core';
+import type { GatewayBlackboard } from '../blackboard.ts';
+import type { GatewayContext } from '../context.ts';
+import type { BudgetSight } from './budgetSight.ts';
+import type { OrganisationLedger } from './organisationLedger.ts';
+
+/** A request that waits for tokens. */
+export interface Waiter {
+  readonly tokens: number;
+  readonly woken: Channel<true>;
+}
+
+/** An organisation's ledger with the requests that wait for tokens and the state of its synchronization task. */
+export interface LedgerAccount {
+  readonly organisationName: string;
+  readonly ledger: OrganisationLedger;
+  /** Wakes the synchronization task before its next period. */
+  readonly wake: Channel<true>;
+  readonly waiters: Set<Waiter>;
+  /** Counts store replies and plans without a change, so that a waiter can tell whether the rows were checked since. */
+  rowCheckCount: number;
+  /** Monotonic time until which only waiting requests wake the synchronization task; set after a rejected change. */
+  backoffUntilMs: number;
+  /** True while a loan is being requested from other routers. */
+  borrowing: boolean;
+  /**
+   * Monotonic time from which `borrowPauseMs` counts until the next round of loan requests. Moved back or forth so that
+   * the round takes place earlier or later.
+   */
+  borrowPauseStartedAtMs: number;
+  /** Monotonic time before which no loan is requested in advance; set after one that was refused. */
+  prefetchPausedUntilMs: number;
+  /** Monotonic time until which a borrower draws for its waiting requests itself, since no home router lends. */
+  drawsUntilMs: number;
+  /** What the lenders last reported of the budget; undefined before the first report. */
+  sight: BudgetSight | undefined;
+  /** Sequence number of the next loan that this router requests. */
+  nextLoanNumber: number;
+  /** Tokens of the loans that this router gave recently, by loan id; 0 for cancelled loans. */
+  readonly givenLoans: Map<string, number>;
+}
+
+/** Replaces a reservation with the tokens actually spent and wakes waiting requests. */
+export function settleTokens(
+  context: GatewayContext,
+  account: LedgerAccount,
+  reservedTokens: number,
+  spentTokens: number,
+): void {
+  account.ledger.settle(reservedTokens, spentTokens);
+  wakeWaiters(context, account);
+}
+
+/**
+ * Length of the store outage as far as it allows the release of tokens beyond a share's limit. Counts from the newest
+ * liveness record, which the next incarnation relies on, or from the last reply that showed the share row if that is
+ * later, so that the limit applies again once the store responds.
+ */
+export function silentMs({ board, loop }: GatewayContext, { ledger }: LedgerAccount): number {
+  return loop.nowMs() - Math.max(board.newestLivenessRecordAtMs, ledger.syncedAtMs ?? -Infinity);
+}
+
+/** Reserves tokens of the share that are free now. */
+export function tryReserve(context: GatewayContext, account: LedgerAccount, tokens: number): boolean {
+  const { board, loop } = context;
+  const { ledger } = account;
+  // If the budget was reduced below the drawn amount, free tokens must be returned instead of spent.
+  const overdrawn = ledger.rows.total.grantedTokens > budgetOf(board, account.organisationName);
+  if (overdrawn || !ledger.tryReserve(tokens, silentMs(context, account))) {
+    return false;
+  }
+  if (ledger.isLimitLow && loop.nowMs() >= account.backoffUntilMs) {
+    // Raises the limit before a request has to wait for it.
+    wakeAccount(context, account);
+  }
+  return true;
+}
+
+/** Returns the budget of an organisation; 0 if it is unknown or has none. */
+export function budgetOf(board: GatewayBlackboard, organisationName: string): number {
+  return board.configuration?.organisations.get(organisationName)?.tokenBudget ?? 0;
+}
+
+export function wakeAccount(context: GatewayContext, account: LedgerAccount): void {
+  if (account.wake.size === 0) {
+    context.loop.push(account.wake, true);
+  }
+}
+
+/** Wakes all waiting requests after tokens may have become free. */
+export function wakeWaiters(context: GatewayContext, account: LedgerAccount): void {
+  for (const waiter of [...account.waiters]) {
+    if (waiter.woken.size === 0) {
+      context.loop.push(waiter.woken, true);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/money/budgetSight.ts
@@ -0,0 +1,35 @@
+/** What a lender reports of a budget together with a loan or a refusal. */
+export interface BudgetReport {
+  /** Tokens of the budget that no router has drawn; undefined if the store does not reply to the lender. */
+  readonly undrawnTokens: number | undefined;
+  /** Tokens that the lender holds and that become spendable, at the latest when they are released in an outage. */
+  readonly heldTokens: number;
+  /** Upper bound of the tokens that are not spent, wherever they lie; undefined if the lender does not know it. */
+  readonly remainingTokens: number | undefined;
+}
+
+export interface BudgetSight extends BudgetReport {
+  /** Monotonic time at which the report was received. */
+  readonly receivedAtMs: number;
+}
+
+/** Age from which a report says nothing about the budget any more. */
+const MAX_SIGHT_AGE_MS = 1_500;
+
+/** Returns true if a lender has recently reported that the tokens can be drawn or are released soon. */
+export function areTokensExpected(sight: BudgetSight | undefined, tokens: number, nowMs: number): boolean {
+  return (
+    sight !== undefined &&
+    nowMs - sight.receivedAtMs < MAX_SIGHT_AGE_MS &&
+    Math.max(0, sight.undrawnTokens ?? 0) + sight.heldTokens >= tokens
+  );
+}
+
+/** Returns true if a lender has recently reported that the budget cannot cover the tokens. */
+export function isKnownExhausted(sight: BudgetSight | undefined, tokens: number, nowMs: number): boolean {
+  return (
+    sight?.remainingTokens !== undefined &&
+    nowMs - sight.receivedAtMs < MAX_SIGHT_AGE_MS &&
+    sight.remainingTokens < tokens
+  );
+}
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -1,51 +1,15 @@
 import type { Task } from '@pimentostall/core';
 import { Channel, receive } from '@pimentostall/core';
-import type { GatewayBlackboard } from '../blackboard.ts';
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
 import { superviseTask } from '../runtime/superviseTask.ts';
-import { homeRouters } from './homeRouters.ts';
-import { borrowTokens } from './lending.ts';
+import type { LedgerAccount } from './account.ts';
+import { budgetOf, wakeAccount, wakeWaiters } from './account.ts';
 import { OrganisationLedger } from './organisationLedger.ts';
+import { ShareRoleKind, shareRole } from './shareRole.ts';
 import type { LedgerChange } from './types.ts';
 import { ChangeUrgency, LedgerOutcomeKind } from './types.ts';
 
-export enum ReserveOutcomeKind {
-  Reserved = 'reserved',
-  /** The last known totals cannot cover the request. */
-  BudgetExhausted = 'exhausted',
-  /** This router has too few free tokens; other routers or running requests may free some. */
-  ShareShort = 'short',
-}
-
-/** A request that waits for tokens. */
-interface Waiter {
-  readonly tokens: number;
-  readonly woken: Channel<true>;
-}
-
-/** An organisation's ledger with the requests that wait for tokens and the state of its synchronization task. */
-export interface LedgerAccount {
-  readonly organisationName: string;
-  readonly ledger: OrganisationLedger;
-  /** Wakes the synchronization task before its next period. */
-  readonly wake: Channel<true>;
-  readonly waiters: Set<Waiter>;
-  /** Counts store replies and plans without a change, so that a waiter can tell whether the rows were checked since. */
-  rowCheckCount: number;
-  /** True while a loan is being requested from other routers. */
-  borrowing: boolean;
-  /**
-   * Monotonic time from which `borrowPauseMs` counts until the next round of loan requests. Moved back or forth so that
-   * the round takes place earlier or later.
-   */
-  borrowPauseStartedAtMs: number;
-  /** Sequence number of the next loan that this router requests. */
-  nextLoanNumber: number;
-  /** Tokens of the loans that this router gave recently, by loan id; 0 for cancelled loans. */
-  readonly givenLoans: Map<string, number>;
-}
-
 /** Returns the account of an organisation; creates it and starts its task on first use. */
 export function openAccount(context: GatewayContext, organisationName: string): LedgerAccount {
   const existing = context.board.accounts.get(organisationName);
@@ -65,8 +29,12 @@
     wake: new Channel<true>(),
     waiters: new Set(),
     rowCheckCount: 0,
+    backoffUntilMs: -Infinity,
     borrowing: false,
     borrowPauseStartedAtMs: 0,
+    prefetchPausedUntilMs: -Infinity,
+    drawsUntilMs: -Infinity,
+    sight: undefined,
     nextLoanNumber: 1,
     givenLoans: new Map(),
   };
@@ -80,140 +48,6 @@
   return account;
 }
 
-export interface ReserveOptions {
-  readonly waitUntilMs: number;
-  /**
-   * True for a loan to another router. A lender draws but does not borrow, so that routers do not request loans from
-   * each other in a cycle. Only the borrower records the demand; if both did, it would grow with each round of loan
-   * requests.
-   */
-  readonly forLoan: boolean;
-}
-
-/** Reserves tokens. If the share has too few, draws from the budget or borrows, and waits until `waitUntilMs`. */
-export function* reserveTokens(
-  context: GatewayContext,
-  account: LedgerAccount,
-  tokens: number,
-  { waitUntilMs, forLoan }: ReserveOptions,
-): Task<ReserveOutcomeKind> {
-  const { ledger } = account;
-  if (tokens > budgetOf(context.board, account.organisationName)) {
-    // Not recorded as demand either, which one oversized request would raise for long.
-    return ReserveOutcomeKind.BudgetExhausted;
-  }
-  if (!forLoan) {
-    ledger.recordDemand(tokens, context.loop.nowMs());
-  }
-  if (tryReserve(context, account, tokens)) {
-    return ReserveOutcomeKind.Reserved;
-  }
-  const waiter: Waiter = { tokens, woken: new Channel<true>() };
-  // A router with too few requests for a share of its own asks its peers first, and draws only if they lend too little.
-  const borrowsFirst =
-    !forLoan &&
-    isNonHomeRouter(context, account) &&
-    ledger.isSparse(context.options.sharePlan.horizonMs, context.loop.nowMs());
-  if (!borrowsFirst) {
-    // The draw has `firstBorrowMs` to complete before peers are asked.
-    account.borrowPauseStartedAtMs = Math.max(
-      account.borrowPauseStartedAtMs,
-      context.loop.nowMs() + context.options.firstBorrowMs - context.options.borrowPauseMs,
-    );
-  }
-  account.waiters.add(waiter);
-  try {
-    if (!borrowsFirst) {
-      wakeAccount(context, account);
-    }
-    const rowCheckCountBefore = account.rowCheckCount;
-    while (context.loop.nowMs() < waitUntilMs) {
-      const borrowMs = forLoan ? Infinity : nextBorrowAtMs(context, account);
-      const woken = yield* receive(waiter.woken, Math.min(waitUntilMs, borrowMs));
-      const asksPeers = woken === undefined && !forLoan && !account.borrowing;
-      if (asksPeers) {
-        yield* borrowForWaiters(context, account);
-      }
-      if (tryReserve(context, account, tokens)) {
-        return ReserveOutcomeKind.Reserved;
-      }
-      if (asksPeers && borrowsFirst) {
-        // The peers have too few tokens or did not respond. Wake the account only after a round of loan requests: it
-        // wakes its waiters after each plan, so waking it on every turn would loop without waiting.
-        wakeAccount(context, account);
-      }
-      const budget = budgetOf(context.board, account.organisationName);
-      if (account.rowCheckCount > rowCheckCountBefore && ledger.isExhausted(budget, tokens)) {
-        return ReserveOutcomeKind.BudgetExhausted;
-      }
-    }
-    return ReserveOutcomeKind.ShareShort;
-  } finally {
-    account.waiters.delete(waiter);
-  }
-}
-
-/** Monotonic time of the next round of loan requests; Infinity while one is in progress. */
-function nextBorrowAtMs(context: GatewayContext, account: LedgerAccount): number {
-  return account.borrowing ? Infinity : account.borrowPauseStartedAtMs + context.options.borrowPauseMs;
-}
-
-function* borrowForWaiters(context: GatewayContext, account: LedgerAccount): Task<void> {
-  account.borrowing = true;
-  let borrowed = false;
-  try {
-    const smallestTokens = Math.min(...[...account.waiters].map(({ tokens }) => tokens));
-    const spendableTokens = account.ledger.spendableFreeTokens(silentMs(context, account));
-    const neededTokens = smallestTokens - Math.max(0, spendableTokens);
-    if (neededTokens > 0 && (yield* borrowTokens(context, account, neededTokens))) {
-      borrowed = true;
-      wakeWaiters(context, account);
-    }
-  } finally {
-    account.borrowing = false;
-    // After a loan, the next waiting request may borrow immediately.
-    account.borrowPauseStartedAtMs = context.loop.nowMs() - (borrowed ? context.options.borrowPauseMs : 0);
-  }
-}
-
-/** Replaces a reservation with the tokens actually spent and wakes waiting requests. */
-export function settleTokens(
-  context: GatewayContext,
-  account: LedgerAccount,
-  reservedTokens: number,
-  spentTokens: number,
-): void {
-  account.ledger.settle(reservedTokens, spentTokens);
-  wakeWaiters(context, account);
-}
-
-/**
- * Length of the store outage as far as it allows the release of tokens beyond a share's limit. Counts from the newest
- * liveness record, which the next incarnation relies on, or from the last reply that showed the share row if that is
- * later, so that the limit applies again once the store responds.
- */
-export function silentMs({ board, loop }: GatewayContext, { ledger }: LedgerAccount): number {
-  return loop.nowMs() - Math.max(board.newestLivenessRecordAtMs, ledger.syncedAtMs ?? -Infinity);
-}
-
-function tryReserve(context: GatewayContext, account: LedgerAccount, tokens: number): boolean {
-  const { board } = context;
-  // If the budget was reduced below the drawn amount, free tokens must be returned instead of spent.
-  const overdrawn = account.ledger.rows.total.grantedTokens > budgetOf(board, account.organisationName);
-  return !overdrawn && account.ledger.tryReserve(tokens, silentMs(context, account));
-}
-
-/** Returns the budget of an organisation; 0 if it is unknown or has none. */
-export function budgetOf(board: GatewayBlackboard, organisationName: string): number {
-  return board.configuration?.organisations.get(organisationName)?.tokenBudget ?? 0;
-}
-
-export function wakeAccount(context: GatewayContext, account: LedgerAccount): void {
-  if (account.wake.size === 0) {
-    context.loop.push(account.wake, true);
-  }
-}
-
 /** Resolves the open changes of all accounts when the store replies again; spreads the changes of the totals. */
 export function handleStoreRecovery(context: GatewayContext): void {
   for (const account of context.board.accounts.values()) {
@@ -223,17 +57,12 @@
 }
 
 /** Spreads changes that no request waits for over a period, when many routers could make them at the same moment. */
-function postponeTotals(context: GatewayContext, { ledger }: LedgerAccount): void {
-  ledger.postponeTotals(context.loop.nowMs() + totalsPeriodMs(context) * context.random());
-}
-
-/** Wakes all waiting requests after tokens may have become free. */
-export function wakeWaiters(context: GatewayContext, account: LedgerAccount): void {
-  for (const waiter of [...account.waiters]) {
-    if (waiter.woken.size === 0) {
-      context.loop.push(waiter.woken, true);
-    }
-  }
+function postponeTotals(context: GatewayContext, account: LedgerAccount): void {
+  const { loop, options, random } = context;
+  const isHome = shareRole(context, account.organisationName).kind === ShareRoleKind.Home;
+  // A few home routers do not contend, and the others need their tokens.
+  const periodMs = isHome ? options.settlePeriodMs : totalsPeriodMs(context, account);
+  account.ledger.postponeTotals(loop.nowMs() + periodMs * random());
 }
 
 /**
@@ -265,6 +94,7 @@
       Math.min(options.storeBackoffMs * 2 ** failures, options.storeBackoffMaxMs) *
       Math.max(1, context.board.accounts.size / ACCOUNTS_PER_BACKOFF);
     nextMs = loop.nowMs() + nextChangeDelayMs(context, account, outcome, backoffMs);
+    account.backoffUntilMs = outcome === LedgerOutcomeKind.Committed ? -Infinity : nextMs;
   }
 }
 
@@ -273,30 +103,36 @@
   if (board.returningShares && account.waiters.size === 0) {
     return account.ledger.planReturn();
   }
-  const needs = [...account.waiters].map(({ tokens }) => tokens);
+  const role = shareRole(context, account.organisationName);
+  const draws = role.kind !== ShareRoleKind.Borrower || loop.nowMs() < account.drawsUntilMs;
+  const needs = draws ? [...account.waiters].map(({ tokens }) => tokens) : [];
   return account.ledger.plan(
     {
       budgetTokens: budgetOf(board, account.organisationName),
       neededTokens: needs.reduce((sum, tokens) => sum + tokens, 0),
       leastNeededTokens: needs.length === 0 ? 0 : Math.min(...needs),
-      routerCount: Math.max(1, board.routers.size),
-      isNonHomeRouter: isNonHomeRouter(context, account),
-      settlePeriodMs: totalsPeriodMs(context),
+      role,
+      settlePeriodMs: totalsPeriodMs(context, account),
       nowMs: loop.nowMs(),
     },
     options.sharePlan,
   );
 }
 
-/** True if the organisation has home routers and this router is not one of them. */
-function isNonHomeRouter(context: GatewayContext, { organisationName }: LedgerAccount): boolean {
-  const homes = homeRouters(context, organisationName);
-  return homes.length > 0 && !homes.includes(context.self.routerId);
-}
-
-/** Interval at which a router reports spending in the totals; grows with the number of routers that update the row. */
-function totalsPeriodMs({ board, options }: GatewayContext): number {
-  return Math.max(options.settlePeriodMs, (board.routers.size * 1_000) / options.settlesPerSecond);
+/**
+ * Interval at which a router reports spending in the totals; grows with the number of routers that update the row. Draws
+ * report it as well, and home routers draw about as often.
+ */
+function totalsPeriodMs(context: GatewayContext, { organisationName }: LedgerAccount): number {
+  const { board, options } = context;
+  const role = shareRole(context, organisationName);
+  switch (role.kind) {
+    case ShareRoleKind.Home:
+      return options.homeSettlePeriodMs;
+    case ShareRoleKind.Independent:
+    case ShareRoleKind.Borrower:
+      return Math.max(options.settlePeriodMs, (board.routers.size * 1_000) / options.settlesPerSecond);
+  }
 }
 
 /** Delay before the next change, depending on the outcome of the last one. */
--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -1,25 +1,27 @@
+import { homeDemandPerSecond, PRIOR_DEMAND_PER_SECOND } from './assumedDemand.ts';
 import { DemandRate } from './demandRate.ts';
 import type { SharePlanOptions } from './planShare.ts';
 import { planShare } from './planShare.ts';
 import type { PreviousIncarnation } from './liveness.ts';
 import type { ReleaseOptions } from './release.ts';
 import { spendableTokens } from './release.ts';
+import type { ShareRole } from './shareRole.ts';
+import { ShareRoleKind } from './shareRole.ts';
 import type { LedgerChange, LedgerOutcome, LedgerSnapshot, ShareRecord } from './types.ts';
 import { EMPTY_SNAPSHOT, LedgerOutcomeKind } from './types.ts';
 
 /** Factor by which the largest request size decays with each request. */
 const LARGEST_REQUEST_DECAY = 0.98;
-/**
- * Fraction of a budget that all routers together are assumed to use per second until their demand is known, so that
- * the first router to draw leaves enough for the others. At this rate, a daily budget lasts about a minute.
- */
-const PRIOR_DEMAND_PER_SECOND = 0.016;
 /** Weight of the newest request in the moving average of request sizes. */
 const REQUEST_SIZE_SMOOTHING = 0.1;
-/** With fewer requests than this per share horizon, a router counts as sparse and may borrow for each request. */
+/** With fewer requests than this per share horizon, a router counts as sparse and borrows no more than it needs. */
 const MIN_REQUESTS_PER_HORIZON = 4;
 /** A limit is raised once less than this fraction of its headroom is left. */
 const LIMIT_REFRESH_FRACTION = 0.6;
+/** The same for a home router, whose limit is raised as soon as it falls below and not once per period. */
+const HOME_LIMIT_REFRESH_FRACTION = 0.5;
+/** Age up to which the totals tell how much of the budget is left. */
+const RECENT_TOTALS_MS = 5_000;
 
 export interface LedgerIdentity {
   readonly incarnationId: string;
@@ -34,10 +36,7 @@
   readonly neededTokens: number;
   /** Tokens of the smallest waiting request; 0 if none waits. */
   readonly leastNeededTokens: number;
-  /** Number of routers that draw from the budget. */
-  readonly routerCount: number;
-  /** True if the organisation has home routers and this router is not one of them. */
-  readonly isNonHomeRouter: boolean;
+  readonly role: ShareRole;
   /** Maximum time until spending is reported in the totals. */
   readonly settlePeriodMs: number;
   readonly nowMs: number;
@@ -68,6 +67,12 @@
   private lastSettledTotalTokens: number | undefined;
   /** Monotonic time at which a reply last showed or confirmed the share row; undefined before the first reply. */
   syncedAtMs: number | undefined;
+  /** Monotonic time of the first request or, at a home router, loan; undefined before it. */
+  private firstDemandAtMs: number | undefined;
+  /** Monotonic time at which a reply last showed the totals. */
+  private totalsSyncedAtMs = -Infinity;
+  /** Headroom below which the limit is to be raised, according to the last plan. */
+  private lowHeadroomTokens = 0;
   /** Monotonic time of the last committed change that included the totals. */
   private totalsCommittedAtMs = -Infinity;
   /** Monotonic time before which the totals are only changed to draw tokens that requests wait for. */
@@ -106,9 +111,30 @@
     return this.reservedTokens;
   }
 
+  /** Moving average of the tokens of a request. */
+  get averageTokens(): number {
+    return this.averageRequestTokens;
+  }
+
+  /** True if the limit is nearly used up and the share holds tokens beyond it. */
+  get isLimitLow(): boolean {
+    const own = this.ownShare;
+    return (
+      own !== undefined &&
+      own.grantedTokens > own.limitTokens &&
+      own.limitTokens - this.usedTokens < this.lowHeadroomTokens
+    );
+  }
+
+  /** True if a reply has recently shown how much of the budget is drawn and spent. */
+  hasRecentTotals(nowMs: number): boolean {
+    return nowMs - this.totalsSyncedAtMs < RECENT_TOTALS_MS;
+  }
+
   /** Records the demand of a request, including requests that are refused afterwards. */
   recordDemand(tokens: number, nowMs: number): void {
     this.ownDemand.record(tokens, nowMs);
+    this.firstDemandAtMs ??= nowMs;
     this.lastRequestTimesMs = [...this.lastRequestTimesMs, nowMs].slice(-MIN_REQUESTS_PER_HORIZON);
     this.averageRequestTokens += (tokens - this.averageRequestTokens) * REQUEST_SIZE_SMOOTHING;
     this.largestRequestTokens = Math.max(tokens, this.largestRequestTokens * LARGEST_REQUEST_DECAY);
@@ -160,12 +186,16 @@
 
   /** Returns the next transaction, or undefined if no change is needed. */
   plan(input: LedgerPlanInput, options: SharePlanOptions): LedgerChange | undefined {
-    const { budgetTokens, neededTokens, leastNeededTokens, routerCount, settlePeriodMs, nowMs } = input;
+    const { budgetTokens, neededTokens, leastNeededTokens, role, settlePeriodMs, nowMs } = input;
+    if (neededTokens === 0 && this.livesOnLoans(role, budgetTokens)) {
+      return undefined;
+    }
     const freeTokens = Math.max(0, this.freeTokens);
     const { total } = this.snapshot;
     const fleetDemand = this.fleetDemand.perSecond(nowMs);
-    const ownDemand = this.ownDemand.perSecond(nowMs);
-    // Assumed demand of the fleet, of which `demandFraction` attributes an equal part to each router.
+    const ownDemand = this.plannedDemandPerSecond(role, budgetTokens, nowMs);
+    const isHome = role.kind === ShareRoleKind.Home;
+    // Assumed demand of the fleet, of which `demandFraction` attributes an equal part to each router that draws.
     const fleetPrior = budgetTokens * PRIOR_DEMAND_PER_SECOND;
     const delta = planShare(
       {
@@ -174,10 +204,12 @@
         leastNeededTokens: Math.max(0, leastNeededTokens - freeTokens),
         averageRequestTokens: this.averageRequestTokens,
         largestRequestTokens: this.largestRequestTokens,
-        drawsInAdvance: !(input.isNonHomeRouter && this.isSparse(options.horizonMs, nowMs)),
+        drawsInAdvance: role.kind !== ShareRoleKind.Borrower,
         demandTokensPerSecond: ownDemand,
+        horizonMs: isHome ? options.homeHorizonMs : options.horizonMs,
         demandFraction:
-          (ownDemand + fleetPrior / routerCount) / (Math.max(fleetDemand, ownDemand) + fleetPrior),
+          (ownDemand + fleetPrior / drawingRouterCount(role)) /
+          (Math.max(fleetDemand, ownDemand) + fleetPrior),
         budgetTokens,
         grantedTokens: total.grantedTokens - this.recoverableTokens,
         remainingTokens: budgetTokens - total.settledTokens - total.strandedTokens,
@@ -185,12 +217,16 @@
       },
       options,
     );
-    const headroomTokens = (ownDemand * options.limitHorizonMs) / 1_000;
+    const limitHorizonMs = isHome ? options.homeLimitHorizonMs : options.limitHorizonMs;
+    const headroomTokens = (ownDemand * limitHorizonMs) / 1_000;
+    this.lowHeadroomTokens = isHome ? headroomTokens * HOME_LIMIT_REFRESH_FRACTION : 0;
     const change = this.buildChange(delta, {
       limitTokens: this.usedTokens + Math.max(headroomTokens, neededTokens),
       releaseTokensPerSecond: ownDemand * options.releaseDemandFactor + this.largestRequestTokens / 2,
     });
-    if (!this.isChangeNeeded(change, headroomTokens, neededTokens)) {
+    const refreshFraction = isHome ? HOME_LIMIT_REFRESH_FRACTION : LIMIT_REFRESH_FRACTION;
+    const leastHeadroomTokens = Math.max(headroomTokens * refreshFraction, neededTokens);
+    if (!this.isChangeNeeded(change, leastHeadroomTokens)) {
       return undefined;
     }
     const own = this.ownShare;
@@ -213,7 +249,7 @@
         // The tokens of the previous incarnation can only be returned together with its row.
         return postponed ? undefined : change;
       }
-      return neededTokens > 0 ? change : shareChange;
+      return neededTokens > 0 || (isHome && !postponed) ? change : shareChange;
     }
     if (this.unanswered.length > 0) {
       // Once this change is committed, or conflicts with the one that was applied, no other one can be applied.
@@ -223,7 +259,9 @@
     if (totalsDue && !postponed) {
       return change;
     }
-    return this.lacksLimit(own, headroomTokens, neededTokens) ? shareChange : undefined;
+    // Once the limit covers the whole share, writing the row again would not help a waiting request.
+    const raisesLimit = shareChange.share.limitTokens > own.limitTokens;
+    return raisesLimit && this.lacksLimit(own, leastHeadroomTokens) ? shareChange : undefined;
   }
 
   /**
@@ -236,11 +274,15 @@
 
   /** Returns a transaction that gives back all free tokens when the router shuts down; undefined if none is needed. */
   planReturn(): LedgerChange | undefined {
+    const hasNoRow = this.ownShare === undefined && this.snapshot.share === undefined;
+    if (hasNoRow && this.syncedAtMs !== undefined && this.unanswered.length === 0 && this.freeTokens <= 0) {
+      return undefined;
+    }
     const change = this.buildChange(-Math.max(0, this.freeTokens), {
       limitTokens: this.usedTokens,
       releaseTokensPerSecond: 0,
     });
-    return this.isChangeNeeded(change, 0, 0) ? change : undefined;
+    return this.isChangeNeeded(change, 0) ? change : undefined;
   }
 
   /** Must be called before the change is sent, so that returned tokens cannot be spent while the outcome is open. */
@@ -264,10 +306,14 @@
           },
           nowMs,
         );
-        this.totalsCommittedAtMs = change.total === undefined ? this.totalsCommittedAtMs : nowMs;
+        if (change.total !== undefined) {
+          this.totalsCommittedAtMs = nowMs;
+          this.totalsSyncedAtMs = nowMs;
+        }
         return;
       case LedgerOutcomeKind.Conflict:
         this.applySnapshot(outcome.snapshot, nowMs);
+        this.totalsSyncedAtMs = change.total === undefined ? this.totalsSyncedAtMs : nowMs;
         return;
       case LedgerOutcomeKind.Rejected:
         this.unanswered = this.unanswered.filter((sent) => sent !== change);
@@ -349,7 +395,7 @@
   }
 
   /** True if the change draws or returns tokens, reports spending, or raises a limit that is nearly used up. */
-  private isChangeNeeded(change: LedgerChange, headroomTokens: number, neededTokens: number): boolean {
+  private isChangeNeeded(change: LedgerChange, leastHeadroomTokens: number): boolean {
     const own = this.ownShare;
     if (own === undefined || this.syncedAtMs === undefined || this.unanswered.length > 0) {
       // Only a reply shows whether an unanswered change was applied; until then the lower amounts apply.
@@ -358,10 +404,56 @@
     const movesTokens =
       change.share.grantedTokens !== own.grantedTokens || change.share.settledTokens !== own.settledTokens;
     const raisesLimit = change.share.limitTokens > own.limitTokens;
-    return movesTokens || (raisesLimit && this.lacksLimit(own, headroomTokens, neededTokens));
+    return movesTokens || (raisesLimit && this.lacksLimit(own, leastHeadroomTokens));
+  }
+
+  private lacksLimit({ limitTokens }: ShareRecord, leastHeadroomTokens: number): boolean {
+    return limitTokens - this.usedTokens < leastHeadroomTokens;
+  }
+
+  /**
+   * True for a borrower whose share row has nothing to report: it holds no drawn tokens, and what it has spent are loans,
+   * which the lenders have reported. A row of an earlier incarnation must be recovered first.
+   */
+  private livesOnLoans({ kind }: ShareRole, budgetTokens: number): boolean {
+    const own = this.ownShare;
+    return (
+      kind === ShareRoleKind.Borrower &&
+      this.syncedAtMs !== undefined &&
+      this.unanswered.length === 0 &&
+      (own === undefined
+        ? this.snapshot.share === undefined
+        : own.grantedTokens <= own.settledTokens && this.spentTokens <= own.settledTokens) &&
+      this.snapshot.total.grantedTokens <= budgetTokens
+    );
   }
 
-  private lacksLimit({ limitTokens }: ShareRecord, headroomTokens: number, neededTokens: number): boolean {
-    return limitTokens - this.usedTokens < Math.max(headroomTokens * LIMIT_REFRESH_FRACTION, neededTokens);
+  /** Demand for which the share is planned, in tokens per second. */
+  private plannedDemandPerSecond(role: ShareRole, budgetTokens: number, nowMs: number): number {
+    const measuredTokensPerSecond = this.ownDemand.perSecond(nowMs);
+    switch (role.kind) {
+      case ShareRoleKind.Home:
+        return homeDemandPerSecond({
+          budgetTokens,
+          homeCount: role.homeCount,
+          sinceFirstDemandMs: this.firstDemandAtMs === undefined ? undefined : nowMs - this.firstDemandAtMs,
+          measuredTokensPerSecond,
+        });
+      case ShareRoleKind.Independent:
+      case ShareRoleKind.Borrower:
+        return measuredTokensPerSecond;
+    }
+  }
+}
+
+/** Number of routers among which the assumed demand is divided. */
+function drawingRouterCount(role: ShareRole): number {
+  switch (role.kind) {
+    case ShareRoleKind.Home:
+      return role.homeCount;
+    case ShareRoleKind.Independent:
+      return role.routerCount;
+    case ShareRoleKind.Borrower:
+      return 1;
   }
 }
--- a/packages/gateway/src/money/planShare.ts
+++ b/packages/gateway/src/money/planShare.ts
@@ -1,6 +1,11 @@
 export interface SharePlanOptions {
   /** Time for which a share covers the current demand; sized for a store outage of eight seconds with a burst. */
   readonly horizonMs: number;
+  /**
+   * The same for a home router. Longer, because the demand of its region is only assumed at the start of traffic, and may
+   * be a third higher.
+   */
+  readonly homeHorizonMs: number;
   /** Fraction of the remaining tokens that all routers together may hold, divided by their demand. */
   readonly heldFraction: number;
   /** Fraction of the target below which a share is refilled; each draw updates the row that all routers contend for. */
@@ -17,18 +22,25 @@
    * raises the limit immediately.
    */
   readonly limitHorizonMs: number;
+  /**
+   * The same for a home router, which raises its limits for a whole region; longer, so that each organisation needs about
+   * one raise per second. All home routers together strand this much demand when they are killed.
+   */
+  readonly homeLimitHorizonMs: number;
   /** Release rate during a store outage as a multiple of the demand; bursts of one organisation reach 2.5. */
   readonly releaseDemandFactor: number;
 }
 
 export const DEFAULT_SHARE_PLAN: SharePlanOptions = {
   horizonMs: 14_000,
+  homeHorizonMs: 18_000,
   heldFraction: 0.6,
   refillFraction: 0.75,
   returnFactor: 1.3,
   looseReturnFactor: 3,
   scarceHeldFraction: 0.6,
   limitHorizonMs: 1_200,
+  homeLimitHorizonMs: 1_800,
   releaseDemandFactor: 2.5,
 };
 
@@ -43,9 +55,11 @@
   readonly averageRequestTokens: number;
   /** Decaying maximum of recent reservation sizes; the target of a share includes one of this size. */
   readonly largestRequestTokens: number;
-  /** False for a router that borrows for each request instead (see homeRouters.ts). */
+  /** False for a router that lives on loans (see shareRole.ts). */
   readonly drawsInAdvance: boolean;
   readonly demandTokensPerSecond: number;
+  /** Time for which the share is to cover the demand. */
+  readonly horizonMs: number;
   /** This router's fraction of the organisation's demand, 0 to 1. */
   readonly demandFraction: number;
   /** The organisation's current budget. */
@@ -69,7 +83,7 @@
     // The budget was reduced below the drawn amount: return free tokens first.
     return -Math.min(freeTokens, -undrawnTokens);
   }
-  const horizonTokens = (input.demandTokensPerSecond * options.horizonMs) / 1_000;
+  const horizonTokens = (input.demandTokensPerSecond * input.horizonMs) / 1_000;
   const wanted = horizonTokens + input.largestRequestTokens;
   const cap = input.remainingTokens * options.heldFraction * input.demandFraction;
   const affordable = Math.floor(Math.min(wanted, Math.max(cap, 0)));
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -12,6 +12,8 @@
 export interface GatewayOptions {
   /** Period of settling a share and adjusting it to its target; other routers see spending within a second. */
   readonly settlePeriodMs: number;
+  /** The same for a home router; the few home routers of an organisation rarely conflict. */
+  readonly homeSettlePeriodMs: number;
   /**
    * Settlements per second that all routers together write to the totals of one organisation. One twentieth of the
    * write rate of a store partition, so that draws rarely conflict with settlements.
@@ -71,6 +73,7 @@
 
 export const DEFAULT_OPTIONS: GatewayOptions = {
   settlePeriodMs: 1_000,
+  homeSettlePeriodMs: 3_000,
   settlesPerSecond: 10,
   redrawDelayMs: 15,
   storeBackoffMs: 50,
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -1,14 +1,10 @@
 import type { Task } from '@pimentostall/core';
 import { AttemptState, Verdict } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
-import {
-  budgetOf,
-  openAccount,
-  reserveTokens,
-  ReserveOutcomeKind,
-  settleTokens,
-} from '../money/ledgerController.ts';
-import { tokenWaitMs } from '../money/tokenWait.ts';
+import { budgetOf, settleTokens } from '../money/account.ts';
+import { openAccount } from '../money/ledgerController.ts';
+import { reserveForRequest } from '../money/reserveForRequest.ts';
+import { ReserveOutcomeKind } from '../money/reserveTokens.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
 import { chooseUpstream, soonestResumeAtMs } from '../placement/chooseUpstream.ts';
@@ -141,16 +137,10 @@
   }
   const account = openAccount(context, organisationName);
   const reservedTokens = usage.promptTokens + usage.maxOutputTokens;
-  const nowMs = context.loop.nowMs();
-  const targetMs = request.route.targetLatencyMs ?? request.deadlineAtMs - request.exchange.arrivedAtMs;
-  const isHeld = account.ledger.freeTokens >= reservedTokens;
-  const waitUntilMs = Math.min(
-    nowMs + tokenWaitMs({ targetMs, isHeld }, context.options),
-    request.deadlineAtMs,
-  );
-  const outcome = yield* reserveTokens(context, account, reservedTokens, {
-    waitUntilMs,
-    forLoan: false,
+  const outcome = yield* reserveForRequest(context, account, {
+    tokens: reservedTokens,
+    targetMs: request.route.targetLatencyMs ?? request.deadlineAtMs - request.exchange.arrivedAtMs,
+    deadlineAtMs: request.deadlineAtMs,
   });
   switch (outcome) {
     case ReserveOutcomeKind.Reserved:
--- a/packages/gateway/src/requests/servedRequest.ts
+++ b/packages/gateway/src/requests/servedRequest.ts
@@ -1,6 +1,6 @@
 import type { AttemptRecord } from '@pimentostall/core';
 import { verdictOf } from '@pimentostall/core';
-import type { LedgerAccount } from '../money/ledgerController.ts';
+import type { LedgerAccount } from '../money/account.ts';
 import type { Probe } from '../quarantine/suspectTable.ts';
 import type { Route, ServiceDefinition } from '../types.ts';
 import { RouteKind } from '../types.ts';
