Check budgets in a large fleet with lost replies, and describe loans

The property test runs 18 routers with home routers and borrowers through kills, stops, outages and lost replies.

--- a/packages/gateway/src/money/__tests__/loadedFleet.ts
+++ b/packages/gateway/src/money/__tests__/loadedFleet.ts
@@ -27,6 +27,8 @@
   /** Budgets by organisation. */
   readonly budgets: ReadonlyMap<string, number>;
   readonly random: RandomSource;
+  /** Fraction of the replies of peers, and of the store, that are lost after the call was carried out. */
+  readonly lostReplyFraction?: number;
 }
 
 /** What the fleet has done with the requests of one organisation. */
@@ -69,7 +71,7 @@
   private processCount = 0;
 
   constructor(private readonly setup: FleetSetup) {
-    this.store = new LoadedStore(this.timeline, setup.routerCount);
+    this.store = new LoadedStore(this.timeline, setup.routerCount, () => this.isReplyLost());
     for (const [name, budgetTokens] of setup.budgets) {
       this.organisations.set(name, { budgetTokens, spentTokens: 0 });
     }
@@ -361,8 +363,12 @@
       });
       this.timeline.schedule(linkMs, () => {
         const lender = this.routers[peerIndex];
+        const isLost = this.isReplyLost();
         if (lender?.alive === true) {
           handle(lender.context, (value) => {
+            if (isLost) {
+              return;
+            }
             this.timeline.schedule(linkMs, () => {
               resolve(value);
             });
@@ -372,6 +378,11 @@
     });
   }
 
+  private isReplyLost(): boolean {
+    const { lostReplyFraction = 0, random } = this.setup;
+    return lostReplyFraction > 0 && random() < lostReplyFraction;
+  }
+
   private promise<T>(router: RouterProcess, start: (resolve: (value: T) => void) => void): Promise<T> {
     return new Promise((resolve) => {
       start((value) => {
--- a/packages/gateway/src/money/__tests__/loadedStore.ts
+++ b/packages/gateway/src/money/__tests__/loadedStore.ts
@@ -42,6 +42,7 @@
   constructor(
     private readonly timeline: Timeline,
     private readonly routerCount: number,
+    private readonly isReplyLost: () => boolean,
   ) {}
 
   total(organisationName: string): BudgetTotal {
@@ -80,8 +81,9 @@
     this.partBusyUntilMs.set(organisationName, endMs);
     this.timeline.schedule(endMs - this.timeline.nowMs, () => {
       const outcome = this.apply(routerIndex, organisationName, change);
-      this.timeline.schedule(CALL_MS / 2, () => {
-        reply(outcome, true);
+      const isLost = this.isReplyLost();
+      this.timeline.schedule(isLost ? TIMEOUT_MS : CALL_MS / 2, () => {
+        reply(isLost ? { kind: LedgerOutcomeKind.Unknown, detail: 'no reply' } : outcome, !isLost);
       });
     });
   }
--- a/packages/gateway/src/money/account.ts
+++ b/packages/gateway/src/money/account.ts
@@ -3,6 +3,7 @@
 import type { GatewayContext } from '../context.ts';
 import type { BudgetSight } from './budgetSight.ts';
 import type { OrganisationLedger } from './organisationLedger.ts';
+import type { ShareRoleKind } from './shareRole.ts';
 
 /** A request that waits for tokens. */
 export interface Waiter {
@@ -19,6 +20,8 @@
   readonly waiters: Set<Waiter>;
   /** Counts store replies and plans without a change, so that a waiter can tell whether the rows were checked since. */
   rowCheckCount: number;
+  /** Role at the last plan; undefined before the first. */
+  roleKind: ShareRoleKind | undefined;
   /** Monotonic time until which only waiting requests wake the synchronization task; set after a rejected change. */
   backoffUntilMs: number;
   /** True while a loan is being requested from other routers. */
--- a/packages/gateway/src/money/borrowing.ts
+++ b/packages/gateway/src/money/borrowing.ts
@@ -143,6 +143,11 @@
   if (!isDrawable) {
     // No home router has tokens or draws them.
     account.drawsUntilMs = loop.nowMs() + OWN_DRAW_MS;
+    context.log(LogLevel.Debug, 'no home router lends; drawing for waiting requests', {
+      organisation: account.organisationName,
+      missingTokens,
+    });
+    context.metrics.count('pimentostall_loan_rounds_without_lender_total');
   }
   return false;
 }
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -29,6 +29,7 @@
     wake: new Channel<true>(),
     waiters: new Set(),
     rowCheckCount: 0,
+    roleKind: undefined,
     backoffUntilMs: -Infinity,
     borrowing: false,
     borrowPauseStartedAtMs: 0,
@@ -104,6 +105,7 @@
     return account.ledger.planReturn();
   }
   const role = shareRole(context, account.organisationName);
+  recordRole(context, account, role.kind);
   const draws = role.kind !== ShareRoleKind.Borrower || loop.nowMs() < account.drawsUntilMs;
   const needs = draws ? [...account.waiters].map(({ tokens }) => tokens) : [];
   return account.ledger.plan(
@@ -119,6 +121,23 @@
   );
 }
 
+/** Logs when this router becomes a home router of the organisation or is one no longer. */
+function recordRole({ log }: GatewayContext, account: LedgerAccount, roleKind: ShareRoleKind): void {
+  const previousKind = account.roleKind;
+  if (roleKind === previousKind) {
+    return;
+  }
+  account.roleKind = roleKind;
+  if (roleKind === ShareRoleKind.Home || previousKind === ShareRoleKind.Home) {
+    log(LogLevel.Info, 'role for the tokens of an organisation changed', {
+      organisation: account.organisationName,
+      role: roleKind,
+      previousRole: previousKind,
+      freeTokens: account.ledger.freeTokens,
+    });
+  }
+}
+
 /**
  * Interval at which a router reports spending in the totals; grows with the number of routers that update the row. Draws
  * report it as well, and home routers draw about as often.
@@ -204,6 +223,7 @@
   change: LedgerChange,
   outcome: LedgerOutcomeKind,
 ): void {
+  context.metrics.count('pimentostall_budget_changes_total', `outcome="${outcome}"`);
   const own = change.base.share?.incarnationId === change.share.incarnationId ? change.base.share : undefined;
   const drawnTokens = change.share.grantedTokens - (own?.grantedTokens ?? 0);
   context.log(
