--- a/packages/gateway/src/money/__tests__/loadedFleet.ts
+++ b/packages/gateway/src/money/__tests__/loadedFleet.ts
@@ -339,7 +339,7 @@
       organisations: new Map(
         [...this.organisations].map(([name, { budgetTokens }]) => [
           name,
-          { name, keys: [], priority: undefined, tokenBudget: budgetTokens },
+          { name, keys: [], priority: undefined, allowedRegions: [], tokenBudget: budgetTokens },
         ]),
       ),
       requiresKeys: true,
