--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -3,6 +3,8 @@
 import { MembershipCache, RouterRegistry } from './membership/routerRegistry.ts';
 import type { LedgerAccount } from './money/ledgerController.ts';
 import type { PreviousIncarnation } from './money/liveness.ts';
+import type { MembershipReads } from './placement/coldAllowance.ts';
+import type { ColdRecords } from './placement/coldUpstreams.ts';
 import { LeavingUpstreams } from './placement/leavingUpstreams.ts';
 import type { UpstreamView } from './placement/upstreamView.ts';
 import { DEFAULT_QUARANTINE } from './quarantine/options.ts';
@@ -26,7 +28,10 @@
   registerReadAtMs: number;
   /** Upstreams that said that they are leaving, whatever the registry says of them. */
   readonly leavingUpstreams: LeavingUpstreams;
+  /** Cold upstreams by id. */
+  readonly coldRecords: ColdRecords;
   readonly routers: RouterRegistry;
+  readonly membershipReads: MembershipReads;
   /** Ids of the home routers by organisation name. */
   readonly homeRouters: MembershipCache<readonly string[]>;
   readonly accounts: Map<string, LedgerAccount>;
@@ -65,7 +70,9 @@
     upstreams: new Map(),
     registerReadAtMs: -Infinity,
     leavingUpstreams: new LeavingUpstreams(),
+    coldRecords: new Map(),
     routers,
+    membershipReads: { firstAtMs: undefined, lastAtMs: -Infinity },
     homeRouters: new MembershipCache(routers),
     accounts: new Map(),
     retryBudgets: new Map(),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -37,6 +37,15 @@
 export type { CacheChange } from './placement/cacheView.ts';
 export { cacheFollowerCount } from './placement/cacheFollowers.ts';
 export { CacheView } from './placement/cacheView.ts';
+export { EntryArrival } from './placement/coldEnd.ts';
+export type { ColdContext } from './placement/coldUpstreams.ts';
+export {
+  carryColdEnd,
+  ColdSource,
+  recordCold,
+  recordEntryReading,
+  warmupMsOf,
+} from './placement/coldUpstreams.ts';
 export type { Placement, RouterLocation, PlacementRequest } from './placement/chooseUpstream.ts';
 export { chooseUpstream } from './placement/chooseUpstream.ts';
 export { recordRetryAfter } from './placement/recordRetryAfter.ts';
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -3,6 +3,7 @@
 import type { SharePlanOptions } from './money/planShare.ts';
 import { DEFAULT_SHARE_PLAN } from './money/planShare.ts';
 import type { ReleaseOptions } from './money/release.ts';
+import type { ColdLimits } from './placement/coldAllowance.ts';
 import type { PlacementOptions } from './placement/options.ts';
 import { DEFAULT_PLACEMENT } from './placement/options.ts';
 import type { QuarantineOptions } from './quarantine/options.ts';
@@ -45,6 +46,8 @@
   readonly budgetWaitTargetPart: number;
   readonly placement: PlacementOptions;
   readonly quarantine: QuarantineOptions;
+  /** Bound of the requests to cold engines; undefined if the deployment has none, and cold engines are not limited. */
+  readonly coldBound: Pick<ColdLimits, 'overshoot' | 'slack'> | undefined;
   readonly retryRatio: number;
   readonly retryWindowMs: number;
   readonly retrySlack: number;
@@ -88,6 +91,7 @@
   budgetWaitTargetPart: 0.2,
   placement: DEFAULT_PLACEMENT,
   quarantine: DEFAULT_QUARANTINE,
+  coldBound: undefined,
   retryRatio: 0.1,
   retryWindowMs: 10_000,
   retrySlack: 20,
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -15,6 +15,8 @@
    * engines, so that those which are not the cause do not meet the one that is again.
    */
   readonly spreadKey: string | undefined;
+  /** Called for each upstream that could take the request; true if it must not. */
+  readonly isWithheld?: (upstream: UpstreamView) => boolean;
 }
 
 export interface RouterLocation {
@@ -48,7 +50,10 @@
 ): Placement | undefined {
   const serviceUpstreams = [...upstreams].filter(({ entry }) => entry.serviceName === request.serviceName);
   const candidates = serviceUpstreams.filter(
-    (upstream) => upstream.isUsable(nowMs) && !request.excluded.has(upstream.entry.upstreamId),
+    (upstream) =>
+      upstream.isUsable(nowMs) &&
+      !request.excluded.has(upstream.entry.upstreamId) &&
+      request.isWithheld?.(upstream) !== true,
   );
   const homes = chooseHomeEngines(request.promptParts, serviceUpstreams, options.homesPerPart);
   const placements = candidates.map((upstream) =>
@@ -124,14 +129,20 @@
     distanceCostMs(upstream, location, options) +
     upstream.failureRate * options.failureCostMs +
     resumeCostMs(upstream, nowMs, options) +
-    (upstream.entry.warmupLeftMs > 0 ? options.otherRegionCostMs : 0) -
+    (upstream.entry.warmupLeftMs > 0 || upstream.isCold(nowMs) ? options.otherRegionCostMs : 0) -
     preferenceMs;
   return { upstream, costMs, uncachedTokens };
 }
 
-/** Lets the load return step by step to an upstream that asked for time. */
-function resumeCostMs({ resumesAtMs }: UpstreamView, nowMs: number, options: PlacementOptions): number {
-  const elapsedPart = (nowMs - resumesAtMs) / options.resumeRampMs;
+/** Lets the load return step by step to an upstream that asked for time or was cold. */
+function resumeCostMs(
+  { coldEndMs, resumesAtMs }: UpstreamView,
+  nowMs: number,
+  options: PlacementOptions,
+): number {
+  // The load of a cold upstream is bounded by the allowance, not by its cost.
+  const resumedAtMs = Math.max(resumesAtMs, nowMs < coldEndMs ? -Infinity : coldEndMs);
+  const elapsedPart = (nowMs - resumedAtMs) / options.resumeRampMs;
   return options.resumeCostMs * Math.max(0, 1 - elapsedPart);
 }
 
--- a/packages/gateway/src/placement/upstreamView.ts
+++ b/packages/gateway/src/placement/upstreamView.ts
@@ -27,6 +27,12 @@
   resumesAtMs = -Infinity;
   /** Monotonic time until which the upstream tolerates only few requests per second, since it has just started. */
   coldUntilMs = -Infinity;
+  /** Monotonic time at which it last refused a connection or did not respond. */
+  unresponsiveAtMs = -Infinity;
+  /** Monotonic time until which it counts as cold since it may come back as a new process. */
+  private unresponsiveUntilMs = -Infinity;
+  /** Version of the newest row whose remaining warm-up time was counted. */
+  entryVersion = -Infinity;
   /** Called when the upstream takes no more requests, for each attempt that waits for a connection to it. */
   readonly unsentAttempts = new Set<() => void>();
   /** Span of monotonic time in which it gets no requests, unless a response confirms that it stays. */
@@ -98,6 +104,31 @@
     this.coldUntilMs = Math.max(this.coldUntilMs, untilMs);
   }
 
+  /** Records that it does not respond; it counts as cold until its return is recorded, or until a limit. */
+  markUnresponsive(nowMs: number, limitMs: number): void {
+    this.unresponsiveAtMs = nowMs;
+    this.unresponsiveUntilMs = limitMs;
+  }
+
+  isUnresponsive(nowMs: number): boolean {
+    return nowMs < this.unresponsiveUntilMs;
+  }
+
+  /** Records its return. */
+  endUnresponsive(coldUntilMs: number): void {
+    this.unresponsiveUntilMs = -Infinity;
+    this.markCold(coldUntilMs);
+  }
+
+  /** Monotonic time from which it takes its full load again; -Infinity if it was never cold. */
+  get coldEndMs(): number {
+    return Math.max(this.coldUntilMs, this.unresponsiveUntilMs);
+  }
+
+  isCold(nowMs: number): boolean {
+    return nowMs < this.coldEndMs;
+  }
+
   /** Sends the attempts elsewhere that wait for a connection. */
   withdrawUnsentAttempts(): void {
     for (const withdraw of [...this.unsentAttempts]) {
--- a/packages/gateway/src/requests/attemptProgress.ts
+++ b/packages/gateway/src/requests/attemptProgress.ts
@@ -1,5 +1,6 @@
 import type { AttemptRecord } from '@pimentostall/core';
 import type { Placement } from '../placement/chooseUpstream.ts';
+import type { ColdAttempt } from '../placement/coldUpstreams.ts';
 import type { ByteCollector } from './byteCollector.ts';
 import type { EventSplitter } from './eventSplitter.ts';
 import type { UpstreamCall, UpstreamFailure, UpstreamResponseHead } from './ports.ts';
@@ -69,6 +70,8 @@
   startRecorded: boolean;
   /** Sends the request elsewhere if it still waits for a connection. */
   readonly withdrawUnsent: () => void;
+  /** Set if the upstream was cold when the attempt began. */
+  readonly coldAttempt: ColdAttempt | undefined;
 }
 
 export function recordProgress(progress: AttemptProgress, nowMs: number): void {
--- a/packages/gateway/src/requests/localReplies.ts
+++ b/packages/gateway/src/requests/localReplies.ts
@@ -50,7 +50,8 @@
   },
   [LocalReplyReason.UpstreamsBusy]: {
     status: 503,
-    detail: 'All upstreams of the service ask for time. Send the request again after the given time.',
+    detail:
+      'All upstreams of the service ask for time or have just started. Send the request again after the given time.',
   },
   [LocalReplyReason.UpstreamRefused]: {
     status: 503,
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -3,6 +3,7 @@
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
+import { beginColdAttempt, recordResponse } from '../placement/coldUpstreams.ts';
 import { recordLeaving } from '../placement/recordLeaving.ts';
 import { recordRetryAfter } from '../placement/recordRetryAfter.ts';
 import { RouteKind } from '../types.ts';
@@ -16,6 +17,7 @@
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
 import { recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
+import { recordIfUnresponsive } from './unresponsiveUpstream.ts';
 import { mayHaveEndedWithUpstream } from './upstreamEnd.ts';
 
 /** Status of a response on a streaming route whose body is an event stream. */
@@ -56,6 +58,7 @@
         unanswered.remove();
       }
       if (result !== undefined) {
+        recordIfUnresponsive(context, progress, result);
         const { sentAtMs, firstEventAtMs } = progress;
         return { ...result, sentAtMs, firstEventAtMs };
       }
@@ -63,6 +66,7 @@
   } finally {
     unanswered.remove();
     view.unsentAttempts.delete(progress.withdrawUnsent);
+    progress.coldAttempt?.end();
     view.inFlight -= 1;
     endPrefill(progress);
   }
@@ -105,6 +109,7 @@
     context.loop.push(exchange.events, { kind: RequestEventKind.UpstreamUnavailable, attempt: number });
   };
   upstream.unsentAttempts.add(withdrawUnsent);
+  const coldAttempt = beginColdAttempt(context, upstream);
   const call = context.upstreamPort.open(
     upstream.entry,
     {
@@ -138,6 +143,7 @@
     firstEventAtMs: undefined,
     startRecorded: false,
     withdrawUnsent,
+    coldAttempt,
   };
 }
 
@@ -187,6 +193,7 @@
       progress.record.state = AttemptState.Sent;
       progress.lastProgressAtMs = nowMs;
       progress.sentAtMs = nowMs;
+      progress.coldAttempt?.recordSent();
       progress.placement.upstream.unsentAttempts.delete(progress.withdrawUnsent);
       request.sentCount += 1;
       return undefined;
@@ -199,6 +206,7 @@
     case RequestEventKind.UpstreamHead:
       recordProgress(progress, nowMs);
       progress.head = event.head;
+      progress.coldAttempt?.end();
       progress.bodyBytes = event.bodyBytes;
       return handleResponseHead(context, request, progress, event.head, mayRetry);
     case RequestEventKind.UpstreamData:
@@ -224,6 +232,9 @@
   } else if (head.matchesRequest && !head.wrongUpstream) {
     view.confirmEntry();
   }
+  if (!head.wrongUpstream) {
+    recordResponse(context, view);
+  }
   const asksForTime = recordRetryAfter(context, view, head.retryAfter);
   if (head.belongsToOtherRequest) {
     // Whatever it says, also that the upstream did not execute the request, says nothing about this one.
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -11,6 +11,7 @@
 import { tokenWaitMs } from '../money/tokenWait.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
+import { ColdFilter } from '../placement/coldUpstreams.ts';
 import { chooseUpstream, soonestResumeAtMs } from '../placement/chooseUpstream.ts';
 import { getOrCreateRetryBudget, tryReserveRetry } from '../retries/reserveRetry.ts';
 import { chooseService } from '../routing/routeTable.ts';
@@ -216,9 +217,11 @@
       finishWithheld(context, request, withheld);
       return;
     }
-    const placement = choosePlacement(context, request);
+    const cold = new ColdFilter(context);
+    const placement = choosePlacement(context, request, cold);
+    cold.recordPlacement(placement !== undefined);
     if (placement === undefined) {
-      finishUnplaced(context, request);
+      finishUnplaced(context, request, cold);
       return;
     }
     const mayRetry = request.sentCount + 1 < request.route.maxAttempts;
@@ -233,7 +236,11 @@
   }
 }
 
-function choosePlacement(context: GatewayContext, request: ServedRequest): Placement | undefined {
+function choosePlacement(
+  context: GatewayContext,
+  request: ServedRequest,
+  cold: ColdFilter,
+): Placement | undefined {
   const { head } = request.exchange;
   return chooseUpstream(
     {
@@ -242,6 +249,7 @@
       promptTokens: head.usage?.promptTokens ?? 0,
       excluded: request.triedUpstreams,
       spreadKey: request.endedEngine ? request.requestId : undefined,
+      isWithheld: (upstream) => cold.isWithheld(upstream),
     },
     context.board.upstreams.values(),
     context.location,
@@ -284,11 +292,14 @@
   }
 }
 
-function finishUnplaced(context: GatewayContext, request: ServedRequest): void {
+function finishUnplaced(context: GatewayContext, request: ServedRequest, cold: ColdFilter): void {
   const { board, loop, random } = context;
   const nowMs = loop.nowMs();
-  const resumesAtMs = soonestResumeAtMs(request.service.name, board.upstreams.values(), nowMs);
-  if (resumesAtMs === undefined) {
+  const resumesAtMs = Math.min(
+    soonestResumeAtMs(request.service.name, board.upstreams.values(), nowMs) ?? Infinity,
+    cold.nextAllowanceAtMs ?? Infinity,
+  );
+  if (resumesAtMs === Infinity) {
     const reason =
       request.attempts.length === 0 ? LocalReplyReason.NoUpstream : LocalReplyReason.UpstreamFailed;
     finish(context, request.exchange, request, reason, 'no other upstream available');
@@ -300,9 +311,9 @@
     request.exchange,
     request,
     LocalReplyReason.UpstreamsBusy,
-    'all upstreams are unavailable or ask for time',
+    'all upstreams are unavailable, ask for time or are cold',
     {
-      fields: { resumesInMs: Math.round(resumesInMs) },
+      fields: { resumesInMs: Math.round(resumesInMs), cold: cold.nextAllowanceAtMs !== undefined },
       retryAfterMs: resumeDelayMs({ resumesInMs, remainingMs: request.deadlineAtMs - nowMs }, random),
     },
   );
--- a/packages/gateway/src/requests/suspectRequests.ts
+++ b/packages/gateway/src/requests/suspectRequests.ts
@@ -1,6 +1,7 @@
 import type { Task } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
+import { recordUnresponsive } from '../placement/coldUpstreams.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
 import type { UpstreamView } from '../placement/upstreamView.ts';
 import { applySuspectChanges } from '../quarantine/applySuspectChanges.ts';
@@ -73,6 +74,7 @@
     return;
   }
   upstream.eject(loop.nowMs(), options.placement.ejectionMaxMs);
+  recordUnresponsive(context, upstream);
   const hadBegun =
     firstEventAtMs !== undefined && failedAtMs - firstEventAtMs >= options.quarantine.startConfirmMs;
   if (hadBegun) {
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -45,12 +45,21 @@
   readonly maxCacheFollowers: number;
 }
 
+/** How engines of a service warm up after a start. */
+export interface WarmupLimits {
+  readonly durationMs: number;
+  /** Requests per second that a cold engine tolerates. */
+  readonly requestsPerSecond: number;
+}
+
 export interface ServiceDefinition {
   readonly name: string;
   /** Maximum number of connections that one upstream accepts from all its clients together. */
   readonly maxConnections: number;
   /** Undefined for a plain service. */
   readonly engine: EngineLimits | undefined;
+  /** Undefined for a service without cold engines. */
+  readonly warmup?: WarmupLimits | undefined;
 }
 
 export interface Organisation {
