--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -129,11 +129,16 @@
     distanceCostMs(upstream, location, options) +
     upstream.failureRate * options.failureCostMs +
     resumeCostMs(upstream, nowMs, options) +
-    (upstream.entry.warmupLeftMs > 0 || upstream.isCold(nowMs) ? options.otherRegionCostMs : 0) -
+    (isWarmingUp(upstream, nowMs) ? options.otherRegionCostMs : 0) -
     preferenceMs;
   return { upstream, costMs, uncachedTokens };
 }
 
+/** Whether an upstream responds slowly since it has just started. Its entry is only asked where no cold time is known. */
+function isWarmingUp({ coldEndMs, entry }: UpstreamView, nowMs: number): boolean {
+  return coldEndMs === -Infinity ? entry.warmupLeftMs > 0 : nowMs < coldEndMs;
+}
+
 /** Lets the load return step by step to an upstream that asked for time or was cold. */
 function resumeCostMs(
   { coldEndMs, resumesAtMs }: UpstreamView,
