--- a/packages/gateway/src/placement/__tests__/coldFleet.ts
+++ b/packages/gateway/src/placement/__tests__/coldFleet.ts
@@ -14,6 +14,7 @@
   ColdFilter,
   recordEntryReading,
   recordResponse,
+  recordUnresponsive,
 } from '../coldUpstreams.ts';
 import { DEFAULT_PLACEMENT } from '../options.ts';
 import { UpstreamView } from '../upstreamView.ts';
@@ -28,6 +29,7 @@
 export const LONGEST_LINK_MS = 60;
 
 const SERVICE = 'assistant';
+const CONNECT_TIMEOUT_MS = 400;
 const HEARTBEAT_MS = 1_000;
 const READ_PERIOD_MS = 600;
 const ZONES = ['a', 'b', 'c'];
@@ -72,6 +74,8 @@
   private readonly random: RandomSource;
   private readonly requestsPerSecond: number;
   private requestDebt = 0;
+  /** Ids of the engines to which connections cannot be opened. */
+  readonly darkEngineIds = new Set<string>();
 
   constructor({ routerCount = 60, engineCount = 30, requestsPerSecond = 600, seed = 1 }: FleetOptions = {}) {
     this.random = seededRandom(seed);
@@ -271,7 +275,7 @@
     });
   }
 
-  private sendRequest(): void {
+  private sendRequest(attemptsLeft = 3): void {
     const running = this.routers.filter((router) => router.running);
     const router = running[Math.floor(this.random() * running.length)];
     if (router === undefined) {
@@ -282,7 +286,10 @@
     const placement = chooseUpstream(
       {
         serviceName: SERVICE,
-        promptParts: [],
+        promptParts: [
+          { partId: `part-${Math.floor(100 * this.random())}`, tokens: 400 },
+          { partId: 'own', tokens: 100 },
+        ],
         promptTokens: 500,
         excluded: new Set(),
         spreadKey: undefined,
@@ -319,6 +326,18 @@
         this.sendRequest();
         return;
       }
+      if (this.darkEngineIds.has(upstream.entry.upstreamId)) {
+        this.schedule(CONNECT_TIMEOUT_MS, () => {
+          upstream.inFlight -= 1;
+          attempt?.end();
+          upstream.recordFailure(this.nowMs);
+          recordUnresponsive(context, upstream);
+          if (attemptsLeft > 1) {
+            this.sendRequest(attemptsLeft - 1);
+          }
+        });
+        return;
+      }
       attempt?.recordSent();
       this.schedule(linkMs, () => {
         const { upstreamId } = upstream.entry;
@@ -326,6 +345,7 @@
       });
       this.schedule(linkMs + 100 + 200 * this.random(), () => {
         attempt?.end();
+        upstream.lastProgressAtMs = this.nowMs;
         recordResponse(context, upstream);
       });
       this.schedule(linkMs + 1_500, () => {
--- a/packages/gateway/src/placement/coldUpstreams.ts
+++ b/packages/gateway/src/placement/coldUpstreams.ts
@@ -5,6 +5,7 @@
 import type { AllowanceShare, ColdLimits } from './coldAllowance.ts';
 import { chooseShare, ColdPace, isMembershipSettled } from './coldAllowance.ts';
 import { coldEndMs, EntryArrival } from './coldEnd.ts';
+import { upstreamsOfFailedZone } from './unresponsiveZone.ts';
 import type { UpstreamView } from './upstreamView.ts';
 
 /** What showed that an upstream is cold. */
@@ -15,6 +16,8 @@
   Appearance = 'appearance',
   /** It refused connections or did not respond, and may have started again since. */
   Unresponsive = 'unresponsive',
+  /** Other upstreams of its zone did not respond, and none of them has since. */
+  UnresponsiveZone = 'unresponsive-zone',
   /** Its availability zone is no longer evacuated. */
   EvacuationEnd = 'evacuation-end',
 }
@@ -127,9 +130,15 @@
     return;
   }
   const nowMs = context.loop.nowMs();
-  const wasCold = view.isCold(nowMs);
-  view.markUnresponsive(nowMs, nowMs + UNRESPONSIVE_LIMIT_MS + warmupMs);
-  startCold(context, view, wasCold, ColdSource.Unresponsive);
+  const mark = (upstream: UpstreamView, source: ColdSource): void => {
+    const wasCold = upstream.isCold(nowMs);
+    upstream.markUnresponsive(nowMs, nowMs + UNRESPONSIVE_LIMIT_MS + warmupMs);
+    startCold(context, upstream, wasCold, source);
+  };
+  mark(view, ColdSource.Unresponsive);
+  for (const upstream of upstreamsOfFailedZone(view, context.board.upstreams.values(), nowMs)) {
+    mark(upstream, ColdSource.UnresponsiveZone);
+  }
 }
 
 /** Records a response of an upstream. One that was unresponsive is cold from now on. */
--- a/packages/gateway/src/requests/unresponsiveUpstream.ts
+++ b/packages/gateway/src/requests/unresponsiveUpstream.ts
@@ -2,6 +2,7 @@
 import type { GatewayContext } from '../context.ts';
 import type { AttemptProgress, AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd } from './attemptProgress.ts';
+import { UpstreamFailure } from './ports.ts';
 
 /**
  * Records an upstream that an attempt found unresponsive: no connection could be opened, or nothing arrived on any of its
@@ -12,6 +13,14 @@
   progress: AttemptProgress,
   { end, failure }: AttemptResult,
 ): void {
+  const { loop, options } = context;
+  if (
+    failure !== UpstreamFailure.ConnectionRefused &&
+    loop.nowMs() - loop.stalledUntilMs < options.silentUpstreamMs
+  ) {
+    // Timeouts that expired while this process stood still say nothing about the upstream.
+    return;
+  }
   const { upstream } = progress.placement;
   switch (end) {
     case AttemptEnd.NotSent:
