--- a/packages/gateway/src/placement/__tests__/coldFleet.test.ts
+++ b/packages/gateway/src/placement/__tests__/coldFleet.test.ts
@@ -179,3 +179,33 @@
   const last = fleet.arrivalsOf('engine-0', warmAtMs + 3_000, warmAtMs + 4_000).length;
   assert.ok(last >= usual / 2, `${last} requests in a second, usually ${usual}`);
 });
+
+for (const { routerCount, engineCount, requestsPerSecond, darkMs, seed } of [
+  { routerCount: 60, engineCount: 30, requestsPerSecond: 300, darkMs: 2_000, seed: 1 },
+  { routerCount: 60, engineCount: 30, requestsPerSecond: 300, darkMs: 5_000, seed: 2 },
+  { routerCount: 190, engineCount: 98, requestsPerSecond: 1_000, darkMs: 3_000, seed: 3 },
+]) {
+  test(`a zone that is dark for ${darkMs} ms stays within the bound from its return, although a third of ${routerCount} routers are without the store and rows are 2 s late`, () => {
+    const fleet = new ColdFleet({ routerCount, engineCount, requestsPerSecond, seed });
+    fleet.advance(SETTLED_MS);
+    const engineIds = fleet.engineIdsOfZone('a');
+    for (const upstreamId of engineIds) {
+      fleet.darkEngineIds.add(upstreamId);
+    }
+    fleet.routers.forEach((router, index) => {
+      router.storeReachable = index % 3 !== 0;
+    });
+    fleet.advance(darkMs);
+    const backAtMs = fleet.nowMs;
+    fleet.darkEngineIds.clear();
+    for (const upstreamId of engineIds) {
+      fleet.restartEngine(upstreamId, 2_000);
+    }
+    fleet.advance(WARMUP_MS);
+    for (const upstreamId of engineIds) {
+      const most = fleet.maxRequestsPerWindow(upstreamId, backAtMs, fleet.nowMs);
+      assert.ok(most <= MAX_REQUESTS_PER_WINDOW, `${most} requests in one second at ${upstreamId}`);
+    }
+    assert.equal(fleet.refusals.length, 0, 'requests were refused although warm engines were available');
+  });
+}
