--- a/packages/gateway/src/placement/coldUpstreams.ts
+++ b/packages/gateway/src/placement/coldUpstreams.ts
@@ -229,8 +229,9 @@
     return { kind: 'none' };
   }
   if (nowMs - record.shareAtMs >= SHARE_LIFETIME_MS) {
+    // Readiness changes at once and for many routers together, whereas a row is known before its router may send.
     const others = [...board.routers.values()]
-      .filter((view) => view.entry.ready && isRecentRouter(view, nowMs, board, options))
+      .filter((view) => isRecentRouter(view, nowMs, board, options))
       .map(({ entry }) => entry.routerId)
       .filter((routerId) => routerId !== self.routerId);
     record.share = chooseShare(upstreamId, self.routerId, others, limits);
@@ -252,7 +253,7 @@
     const nowMs = loop.nowMs();
     const { upstreamId, serviceName } = view.entry;
     if (!view.isCold(nowMs)) {
-      const record = board.coldRecords.get(upstreamId);
+      const record = board.coldRecords.size === 0 ? undefined : board.coldRecords.get(upstreamId);
       if (record !== undefined) {
         board.coldRecords.delete(upstreamId);
         log(LogLevel.Info, 'upstream is warm again', { upstream: upstreamId, source: record.source });
