--- a/packages/gateway/src/placement/__tests__/coldFleet.test.ts
+++ b/packages/gateway/src/placement/__tests__/coldFleet.test.ts
@@ -209,3 +209,38 @@
     assert.equal(fleet.refusals.length, 0, 'requests were refused although warm engines were available');
   });
 }
+
+test('routers that all start at the same moment send nothing to cold engines at first, and then stay within the bound', () => {
+  const fleet = new ColdFleet({ engineCount: 10, requestsPerSecond: 400 });
+  fleet.advance(SETTLED_MS);
+  const engineIds = [...fleet.arrivals.keys()];
+  const ended = [...fleet.routers];
+  for (const router of ended) {
+    router.running = false;
+  }
+  for (const upstreamId of engineIds) {
+    fleet.restartEngine(upstreamId, 100);
+  }
+  fleet.advance(LONGEST_LINK_MS + 300);
+  const startedAtMs = fleet.nowMs;
+  const started = ended.map(() => fleet.startRouter());
+  for (const { context } of started) {
+    for (const view of context.board.upstreams.values()) {
+      assert.equal(
+        view.isCold(startedAtMs),
+        true,
+        'the row of a cold engine was not used at the first reading',
+      );
+      // The cold time is extended, so that it outlasts the time without requests.
+      view.markCold(Infinity);
+    }
+  }
+  fleet.advance(6_000);
+  const arrivals = engineIds.map((upstreamId) => fleet.arrivalsOf(upstreamId, startedAtMs, fleet.nowMs));
+  assert.ok(arrivals.flat().every(({ atMs }) => atMs >= startedAtMs + 2_500));
+  for (const [index, upstreamId] of engineIds.entries()) {
+    assert.ok((arrivals[index]?.length ?? 0) > 0, `${upstreamId} got no request`);
+    const most = fleet.maxRequestsPerWindow(upstreamId, startedAtMs, fleet.nowMs);
+    assert.ok(most <= MAX_REQUESTS_PER_WINDOW, `${most} requests in one second at ${upstreamId}`);
+  }
+});
