--- a/packages/gateway/src/evacuation/recordEvacuations.ts
+++ b/packages/gateway/src/evacuation/recordEvacuations.ts
@@ -1,5 +1,6 @@
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
+import { ColdSource, recordCold, warmupMsOf } from '../placement/coldUpstreams.ts';
 import type { UpstreamView } from '../placement/upstreamView.ts';
 import type { EvacuationReading } from './evacuationState.ts';
 
@@ -92,9 +93,9 @@
   const upstreams = upstreamsOf(context, zone);
   const wasCleared = !board.evacuations.clearings.delete(zone);
   for (const upstream of upstreams) {
-    const warmup = board.configuration?.services.get(upstream.entry.serviceName)?.warmup;
-    if (warmup !== undefined) {
-      upstream.markCold(loop.nowMs() + warmup.durationMs);
+    const warmupMs = warmupMsOf(context, upstream.entry.serviceName);
+    if (warmupMs !== undefined) {
+      recordCold(context, upstream, loop.nowMs() + warmupMs, ColdSource.EvacuationEnd);
     }
   }
   log(LogLevel.Info, 'evacuation cancelled', { zone, version, upstreams: upstreams.length, wasCleared });
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -17,6 +17,8 @@
   readonly spreadKey: string | undefined;
   /** Set if routers share the loads of engines: spreads requests over engines that cost almost the same. */
   readonly tieKey?: string | undefined;
+  /** Called for each upstream that could take the request; true if it must not. */
+  readonly isWithheld?: (upstream: UpstreamView) => boolean;
 }
 
 export interface RouterLocation {
@@ -50,7 +52,10 @@
 ): Placement | undefined {
   const serviceUpstreams = [...upstreams].filter(({ entry }) => entry.serviceName === request.serviceName);
   const candidates = serviceUpstreams.filter(
-    (upstream) => upstream.isUsable(nowMs) && !request.excluded.has(upstream.entry.upstreamId),
+    (upstream) =>
+      upstream.isUsable(nowMs) &&
+      !request.excluded.has(upstream.entry.upstreamId) &&
+      request.isWithheld?.(upstream) !== true,
   );
   const homes = chooseHomeEngines(request.promptParts, serviceUpstreams, options.homesPerPart);
   const placements = candidates.map((upstream) =>
@@ -149,14 +154,25 @@
     distanceCostMs(upstream, location, options) +
     upstream.failureRate * options.failureCostMs +
     resumeCostMs(upstream, nowMs, options) +
-    (upstream.entry.warmupLeftMs > 0 ? options.otherRegionCostMs : 0) -
+    (isWarmingUp(upstream, nowMs) ? options.otherRegionCostMs : 0) -
     preferenceMs;
   return { upstream, costMs, uncachedTokens };
 }
 
-/** Lets the load return step by step to an upstream that asked for time. */
-function resumeCostMs({ resumesAtMs }: UpstreamView, nowMs: number, options: PlacementOptions): number {
-  const elapsedPart = (nowMs - resumesAtMs) / options.resumeRampMs;
+/** Whether an upstream responds slowly since it has just started. Its entry is only asked where no cold time is known. */
+function isWarmingUp({ coldEndMs, entry }: UpstreamView, nowMs: number): boolean {
+  return coldEndMs === -Infinity ? entry.warmupLeftMs > 0 : nowMs < coldEndMs;
+}
+
+/** Lets the load return step by step to an upstream that asked for time or was cold. */
+function resumeCostMs(
+  { coldEndMs, resumesAtMs }: UpstreamView,
+  nowMs: number,
+  options: PlacementOptions,
+): number {
+  // The load of a cold upstream is bounded by the allowance, not by its cost.
+  const resumedAtMs = Math.max(resumesAtMs, nowMs < coldEndMs ? -Infinity : coldEndMs);
+  const elapsedPart = (nowMs - resumedAtMs) / options.resumeRampMs;
   return options.resumeCostMs * Math.max(0, 1 - elapsedPart);
 }
 
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -5,6 +5,7 @@
 import { recordAttemptEnd } from '../evacuation/recordEvacuations.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
+import { beginColdAttempt, recordResponse } from '../placement/coldUpstreams.ts';
 import { recordLeaving } from '../placement/recordLeaving.ts';
 import { recordRetryAfter } from '../placement/recordRetryAfter.ts';
 import { RouteKind } from '../types.ts';
@@ -12,12 +13,14 @@
 import { AttemptEnd, endPrefill, recordProgress } from './attemptProgress.ts';
 import { checkTimeouts, MAX_HELD_RESPONSE_BYTES, nextTimeoutAtMs } from './attemptTimeouts.ts';
 import { ByteCollector } from './byteCollector.ts';
+import { enginePriority } from './enginePriority.ts';
 import { EventSplitter } from './eventSplitter.ts';
 import type { RequestEvent, UpstreamResponseHead } from './ports.ts';
 import { RequestEventKind, UpstreamFailure } from './ports.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
 import { recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
+import { recordIfUnresponsive } from './unresponsiveUpstream.ts';
 import { mayHaveEndedWithUpstream } from './upstreamEnd.ts';
 
 /** Status of a response on a streaming route whose body is an event stream. */
@@ -59,6 +62,7 @@
         unanswered.remove();
       }
       if (result !== undefined) {
+        recordIfUnresponsive(context, progress, result);
         const { sentAtMs, firstEventAtMs } = progress;
         return { ...result, sentAtMs, firstEventAtMs };
       }
@@ -66,6 +70,7 @@
   } finally {
     unanswered.remove();
     view.unsentAttempts.delete(progress.withdrawUnsent);
+    progress.coldAttempt?.end();
     view.inFlight -= 1;
     const endedTokens = endPrefill(progress);
     reportLoad(context, request, placement, endedTokens);
@@ -122,6 +127,7 @@
     context.loop.push(exchange.events, { kind: RequestEventKind.UpstreamUnavailable, attempt: number });
   };
   upstream.unsentAttempts.add(withdrawUnsent);
+  const coldAttempt = beginColdAttempt(context, upstream);
   const call = context.upstreamPort.open(
     upstream.entry,
     {
@@ -155,20 +161,10 @@
     firstEventAtMs: undefined,
     startRecorded: false,
     withdrawUnsent,
+    coldAttempt,
   };
 }
 
-/** Lowest priority that engines accept; larger numbers mean lower priority. */
-const LOWEST_ENGINE_PRIORITY = 9;
-
-function enginePriority(context: GatewayContext, request: ServedRequest): number {
-  const organisation =
-    request.organisationName === undefined
-      ? undefined
-      : context.board.configuration?.organisations.get(request.organisationName);
-  return Math.min(organisation?.priority ?? request.route.priority, LOWEST_ENGINE_PRIORITY);
-}
-
 function handleEvent(
   context: GatewayContext,
   request: ServedRequest,
@@ -204,6 +200,7 @@
       progress.record.state = AttemptState.Sent;
       progress.lastProgressAtMs = nowMs;
       progress.sentAtMs = nowMs;
+      progress.coldAttempt?.recordSent();
       progress.placement.upstream.unsentAttempts.delete(progress.withdrawUnsent);
       request.sentCount += 1;
       return undefined;
@@ -216,6 +213,7 @@
     case RequestEventKind.UpstreamHead:
       recordProgress(progress, nowMs);
       progress.head = event.head;
+      progress.coldAttempt?.end();
       progress.bodyBytes = event.bodyBytes;
       return handleResponseHead(context, request, progress, event.head, mayRetry);
     case RequestEventKind.UpstreamData:
@@ -241,6 +239,9 @@
   } else if (head.matchesRequest && !head.wrongUpstream) {
     view.confirmEntry();
   }
+  if (!head.wrongUpstream) {
+    recordResponse(context, view);
+  }
   const asksForTime = recordRetryAfter(context, view, head.retryAfter);
   if (head.belongsToOtherRequest) {
     // Whatever it says, also that the upstream did not execute the request, says nothing about this one.
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -1,14 +1,15 @@
 import type { Task } from '@pimentostall/core';
 import { AttemptState, Verdict } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
+import { isSharingLoads } from '../engineLoad/engineLoadState.ts';
 import { budgetOf, settleTokens } from '../money/account.ts';
 import { openAccount } from '../money/ledgerController.ts';
 import { reserveForRequest } from '../money/reserveForRequest.ts';
 import { ReserveOutcomeKind } from '../money/reserveTokens.ts';
 import { LogLevel } from '../observability/log.ts';
-import { isSharingLoads } from '../engineLoad/engineLoadState.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
 import { chooseUpstream, soonestResumeAtMs } from '../placement/chooseUpstream.ts';
+import { ColdFilter } from '../placement/coldUpstreams.ts';
 import { permittedUpstreams } from '../placement/permittedUpstreams.ts';
 import { getOrCreateRetryBudget, tryReserveRetry } from '../retries/reserveRetry.ts';
 import { chooseService } from '../routing/routeTable.ts';
@@ -217,9 +218,11 @@
       finishWithheld(context, request, withheld);
       return;
     }
-    const placement = choosePlacement(context, request);
+    const cold = new ColdFilter(context);
+    const placement = choosePlacement(context, request, cold);
+    cold.recordPlacement(placement !== undefined);
     if (placement === undefined) {
-      finishUnplaced(context, request);
+      finishUnplaced(context, request, cold);
       return;
     }
     const mayRetry = request.sentCount + 1 < request.route.maxAttempts;
@@ -234,7 +237,11 @@
   }
 }
 
-function choosePlacement(context: GatewayContext, request: ServedRequest): Placement | undefined {
+function choosePlacement(
+  context: GatewayContext,
+  request: ServedRequest,
+  cold: ColdFilter,
+): Placement | undefined {
   const { head } = request.exchange;
   return chooseUpstream(
     {
@@ -244,6 +251,7 @@
       excluded: request.triedUpstreams,
       spreadKey: request.endedEngine ? request.requestId : undefined,
       tieKey: request.service.engine !== undefined && isSharingLoads(context) ? request.requestId : undefined,
+      isWithheld: (upstream) => cold.isWithheld(upstream),
     },
     permittedUpstreams(context, request),
     context.location,
@@ -286,11 +294,14 @@
   }
 }
 
-function finishUnplaced(context: GatewayContext, request: ServedRequest): void {
+function finishUnplaced(context: GatewayContext, request: ServedRequest, cold: ColdFilter): void {
   const { loop, random } = context;
   const nowMs = loop.nowMs();
-  const resumesAtMs = soonestResumeAtMs(request.service.name, permittedUpstreams(context, request), nowMs);
-  if (resumesAtMs === undefined) {
+  const resumesAtMs = Math.min(
+    soonestResumeAtMs(request.service.name, permittedUpstreams(context, request), nowMs) ?? Infinity,
+    cold.nextAllowanceAtMs ?? Infinity,
+  );
+  if (resumesAtMs === Infinity) {
     const refusal = refuseRestricted(context, request);
     if (refusal !== undefined) {
       finishRestricted(context, request, refusal);
@@ -307,9 +318,9 @@
     request.exchange,
     request,
     LocalReplyReason.UpstreamsBusy,
-    'all upstreams are unavailable or ask for time',
+    'all upstreams are unavailable, ask for time or are cold',
     {
-      fields: { resumesInMs: Math.round(resumesInMs) },
+      fields: { resumesInMs: Math.round(resumesInMs), cold: cold.nextAllowanceAtMs !== undefined },
       retryAfterMs: resumeDelayMs({ resumesInMs, remainingMs: request.deadlineAtMs - nowMs }, random),
     },
   );
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -47,9 +47,10 @@
   readonly maxCacheFollowers: number;
 }
 
-/** Load that an upstream tolerates for a time after its start. */
-export interface Warmup {
+/** How engines of a service warm up after a start. */
+export interface WarmupLimits {
   readonly durationMs: number;
+  /** Requests per second that a cold engine tolerates. */
   readonly requestsPerSecond: number;
 }
 
@@ -59,8 +60,8 @@
   readonly maxConnections: number;
   /** Undefined for a plain service. */
   readonly engine: EngineLimits | undefined;
-  /** Undefined if its upstreams need no warm-up. */
-  readonly warmup: Warmup | undefined;
+  /** Undefined for a service without cold engines. */
+  readonly warmup: WarmupLimits | undefined;
 }
 
 export interface Organisation {
