Leave share rows without unreported tokens alone after a restart

A borrower replaced the row of its previous incarnation together with the totals, also if the row held nothing to recover, so that all routers changed all totals after a restart.

--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -245,7 +245,7 @@
     const postponed = neededTokens <= freeTokens && nowMs < this.totalsPostponedUntilMs;
     if (own === undefined) {
       const { share } = this.snapshot;
-      if (share !== undefined) {
+      if (share !== undefined && (this.hasUnrecoveredShare || isHome)) {
         // The tokens of the previous incarnation can only be returned together with its row.
         return postponed ? undefined : change;
       }
@@ -274,7 +274,7 @@
 
   /** Returns a transaction that gives back all free tokens when the router shuts down; undefined if none is needed. */
   planReturn(): LedgerChange | undefined {
-    const hasNoRow = this.ownShare === undefined && this.snapshot.share === undefined;
+    const hasNoRow = this.ownShare === undefined && !this.hasUnrecoveredShare;
     if (hasNoRow && this.syncedAtMs !== undefined && this.unanswered.length === 0 && this.freeTokens <= 0) {
       return undefined;
     }
@@ -344,6 +344,12 @@
     return share?.incarnationId === this.identity.incarnationId ? share : undefined;
   }
 
+  /** True if the share row of an earlier incarnation has tokens that were not reported as spent. */
+  private get hasUnrecoveredShare(): boolean {
+    const { share } = this.snapshot;
+    return this.ownShare === undefined && share !== undefined && share.grantedTokens !== share.settledTokens;
+  }
+
   /** Tokens granted to an earlier incarnation that it cannot have spent. */
   private get recoverableTokens(): number {
     const { share } = this.snapshot;
@@ -422,7 +428,7 @@
       this.syncedAtMs !== undefined &&
       this.unanswered.length === 0 &&
       (own === undefined
-        ? this.snapshot.share === undefined
+        ? !this.hasUnrecoveredShare
         : own.grantedTokens <= own.settledTokens && this.spentTokens <= own.settledTokens) &&
       this.snapshot.total.grantedTokens <= budgetTokens
     );
