Let reading a shared part again cost more while prompts wait at the engines

In the simulation with 930 equally popular parts and 330 requests per second, engines were busy 1.24 times as long as with own counts alone; now less than 1.1 times, and the mean time to the first event is below that of own counts. The new test fails without the change (559,174 ms busy against 449,885 ms).

--- a/packages/gateway/src/engineLoad/__tests__/engineLoad.test.ts
+++ b/packages/gateway/src/engineLoad/__tests__/engineLoad.test.ts
@@ -59,6 +59,22 @@
   assert.ok(shared.withinTarget > own.withinTarget);
 });
 
+test('knowing the load of a busy site does not make requests read shared parts again at other engines', async () => {
+  // Guards against requests that leave the busy home engines of their parts, which makes all engines busier.
+  const busySite = { requestsPerSecond: 330, skew: 0.3, partsPerClass: 930, cacheTokens: 340_000 };
+  const own = await runSite({ knowledge: Knowledge.Own, ...busySite });
+  const { site: shared } = await runShared(busySite);
+  const busyMs = ({ engines }: SimulatedSite): number =>
+    engines.reduce((sum, engine) => sum + engine.busyMs, 0);
+  assert.ok(busyMs(shared) < 1.1 * busyMs(own), `${busyMs(own)} ms alone, ${busyMs(shared)} shared`);
+  const ownSummary = summarise(own, SETTLE_MS, 0);
+  const sharedSummary = summarise(shared, SETTLE_MS, 0);
+  assert.ok(
+    sharedSummary.meanMs < ownSummary.meanMs,
+    `${ownSummary.meanMs} ms alone, ${sharedSummary.meanMs} shared`,
+  );
+});
+
 test('a router posts at most five times per second, and a collector serves a few dozen messages', async () => {
   const { exchange } = await runShared({ requestsPerSecond: 600 });
   const seconds = END_MS / 1_000;
--- a/packages/gateway/src/engineLoad/__tests__/promptLoad.ts
+++ b/packages/gateway/src/engineLoad/__tests__/promptLoad.ts
@@ -34,12 +34,10 @@
   constructor(
     private readonly random: RandomSource,
     skew: number,
+    partsPerClass = Math.ceil(SHARED_PARTS / CLASSES.length),
   ) {
     let sum = 0;
-    this.cumulativeWeights = Array.from(
-      { length: Math.ceil(SHARED_PARTS / CLASSES.length) },
-      (_, rank) => (sum += (rank + 1) ** -skew),
-    );
+    this.cumulativeWeights = Array.from({ length: partsPerClass }, (_, rank) => (sum += (rank + 1) ** -skew));
   }
 
   next(): SimulatedPrompt {
--- a/packages/gateway/src/engineLoad/__tests__/simulatedSite.ts
+++ b/packages/gateway/src/engineLoad/__tests__/simulatedSite.ts
@@ -44,6 +44,8 @@
   readonly requestsPerSecond: number;
   /** Exponent of the popularity of shared parts; 0 for equally popular ones. */
   readonly skew: number;
+  /** Shared parts of each kind of prompt; undefined for the number of the work plan. */
+  readonly partsPerClass: number | undefined;
   readonly cacheTokens: number;
   readonly placement: PlacementOptions;
 }
@@ -55,6 +57,7 @@
   engineCount: 63,
   requestsPerSecond: REQUESTS_PER_SECOND,
   skew: 0.9,
+  partsPerClass: undefined,
   cacheTokens: CACHE_TOKENS,
   placement: DEFAULT_PLACEMENT,
 };
@@ -166,9 +169,9 @@
 
   constructor(options: Partial<SiteOptions> = {}) {
     this.options = { ...DEFAULT_SITE, ...options };
-    const { seed, skew, routerCount, engineCount } = this.options;
+    const { seed, skew, partsPerClass, routerCount, engineCount } = this.options;
     this.random = seededRandom(seed);
-    this.prompts = new PromptSource(seededRandom(seed + 1), skew);
+    this.prompts = new PromptSource(seededRandom(seed + 1), skew, partsPerClass);
     for (let index = 0; index < engineCount; index += 1) {
       this.addEngine(`engine-${index}`, ZONES[index % ZONES.length] ?? '');
     }
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -1,6 +1,7 @@
 import { hash32 } from '@pimentostall/core';
 import type { PromptPart } from '../types.ts';
 import type { PlacementOptions } from './options.ts';
+import { rereadCostFactor } from './rereadCost.ts';
 import type { UpstreamView } from './upstreamView.ts';
 
 export interface PlacementRequest {
@@ -41,7 +42,8 @@
 /**
  * Chooses the upstream with the lowest estimated time to the first token. To keep long shared prompts cached, all
  * routers map a shared part to the same few home engines by rendezvous hashing. They choose other engines when
- * waiting for a home engine would take longer than prefilling the part again.
+ * waiting for a home engine would take longer than prefilling the part again, or several times as long where routers
+ * share the loads of engines (see rereadCost.ts).
  */
 export function chooseUpstream(
   request: PlacementRequest,
@@ -57,10 +59,17 @@
       !request.excluded.has(upstream.entry.upstreamId) &&
       request.isWithheld?.(upstream) !== true,
   );
-  const homes = chooseHomeEngines(request.promptParts, serviceUpstreams, options.homesPerPart);
-  const placements = candidates.map((upstream) =>
-    estimatePlacement(request, upstream, homes, location, nowMs, options),
-  );
+  const estimate: EstimateInput = {
+    request,
+    homes: chooseHomeEngines(request.promptParts, serviceUpstreams, options.homesPerPart),
+    location,
+    nowMs,
+    options,
+    // Without the loads of the other routers, the state of the service is not known.
+    rereadFactor:
+      request.tieKey === undefined ? 1 : rereadCostFactor(meanPendingMs(candidates, nowMs, options)),
+  };
+  const placements = candidates.map((upstream) => estimatePlacement(upstream, estimate));
   if (request.spreadKey !== undefined) {
     return spreadPlacement(placements, request.spreadKey);
   }
@@ -129,13 +138,33 @@
     .map(({ id }) => id);
 }
 
+/** Mean time that the prompts take which all routers have sent to an engine and which have no first event yet. */
+function meanPendingMs(
+  upstreams: readonly UpstreamView[],
+  nowMs: number,
+  { prefillTokensPerMs }: PlacementOptions,
+): number {
+  let pendingTokens = 0;
+  for (const { pendingPrefillTokens, remoteLoad } of upstreams) {
+    pendingTokens += pendingPrefillTokens + remoteLoad.pendingPrefillTokens(nowMs);
+  }
+  return pendingTokens / prefillTokensPerMs / Math.max(1, upstreams.length);
+}
+
+interface EstimateInput {
+  readonly request: PlacementRequest;
+  /** Ids of the home engines of the prompt's shared part, in rendezvous order. */
+  readonly homes: readonly string[];
+  readonly location: RouterLocation;
+  readonly nowMs: number;
+  readonly options: PlacementOptions;
+  /** Cost of a shared token that is not cached, as a multiple of that of another token. */
+  readonly rereadFactor: number;
+}
+
 function estimatePlacement(
-  request: PlacementRequest,
   upstream: UpstreamView,
-  homes: readonly string[],
-  location: RouterLocation,
-  nowMs: number,
-  options: PlacementOptions,
+  { request, homes, location, nowMs, options, rereadFactor }: EstimateInput,
 ): Placement {
   const { promptParts, promptTokens } = request;
   const sharedTokens = promptParts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
@@ -146,8 +175,9 @@
   const preferenceMs = homeRank < 0 ? 0 : options.homePreferenceMs / (1 + homeRank);
   const uncachedTokens = Math.max(0, promptTokens - cachedTokens);
   const { remoteLoad } = upstream;
+  const rereadTokens = Math.max(0, sharedTokens - cachedTokens) * (rereadFactor - 1);
   const prefillTokens =
-    uncachedTokens + upstream.pendingPrefillTokens + remoteLoad.pendingPrefillTokens(nowMs);
+    uncachedTokens + rereadTokens + upstream.pendingPrefillTokens + remoteLoad.pendingPrefillTokens(nowMs);
   const costMs =
     prefillTokens / options.prefillTokensPerMs +
     (upstream.inFlight + remoteLoad.inFlight(nowMs)) * options.batchCostMs +
