Bound the memory and the connections that callers can make the process hold

A memory account allocates the bytes of connections, requests that are being read, requests that are served and responses that wait, under one bound that follows from the memory of the VM. Each connection hands its bytes to Node's parser in slices that complete at most one request, and only once their memory is allocated and fewer than eight requests are open; otherwise its socket is paused. Bodies are collected in blocks of 32 KiB. Idle connections are closed in favour of new ones beyond the limit of descriptors. The servers for peers, entry, readiness and metrics have the same bounds.

--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -3,6 +3,8 @@
 import { MembershipCache, RouterRegistry } from './membership/routerRegistry.ts';
 import type { LedgerAccount } from './money/ledgerController.ts';
 import type { PreviousIncarnation } from './money/liveness.ts';
+import { MemoryAccount } from './memory/memoryAccount.ts';
+import { DEFAULT_MEMORY } from './memory/options.ts';
 import { LeavingUpstreams } from './placement/leavingUpstreams.ts';
 import type { UpstreamView } from './placement/upstreamView.ts';
 import { DEFAULT_QUARANTINE } from './quarantine/options.ts';
@@ -32,6 +34,10 @@
   readonly accounts: Map<string, LedgerAccount>;
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly quarantine: QuarantineState;
+  /** The bytes that callers and upstreams make the process hold. */
+  readonly memory: MemoryAccount;
+  /** True while the sweep of the memory account runs. */
+  memorySweepRuns: boolean;
   /** True once the process has received the stop signal. */
   draining: boolean;
   drainStartedAtMs: number;
@@ -55,7 +61,10 @@
   storeRecoveredAtMs: number | undefined;
 }
 
-export function createBlackboard(quarantine = DEFAULT_QUARANTINE): GatewayBlackboard {
+export function createBlackboard(
+  quarantine = DEFAULT_QUARANTINE,
+  memoryBoundBytes = DEFAULT_MEMORY.boundBytes,
+): GatewayBlackboard {
   const routers = new RouterRegistry();
   return {
     configuration: undefined,
@@ -70,6 +79,8 @@
     accounts: new Map(),
     retryBudgets: new Map(),
     quarantine: createQuarantineState(quarantine),
+    memory: new MemoryAccount(memoryBoundBytes),
+    memorySweepRuns: false,
     draining: false,
     drainStartedAtMs: Infinity,
     endingRequests: false,
--- a/packages/gateway/src/http/__tests__/peerDocuments.test.ts
+++ b/packages/gateway/src/http/__tests__/peerDocuments.test.ts
@@ -6,6 +6,7 @@
 import { gzipSync } from 'node:zlib';
 import { request } from 'undici';
 import { createBlackboard } from '../../blackboard.ts';
+import { DEFAULT_OPTIONS } from '../../options.ts';
 import { recordReading } from '../../configuration/documentState.ts';
 import type { GatewayContext } from '../../context.ts';
 import { TaskLoop } from '../../runtime/taskLoop.ts';
@@ -37,7 +38,12 @@
     },
   );
   // The server uses no other part of the context.
-  return { board: createBlackboard(), loop, log: () => undefined } as unknown as GatewayContext;
+  return {
+    board: createBlackboard(),
+    loop,
+    options: DEFAULT_OPTIONS,
+    log: () => undefined,
+  } as unknown as GatewayContext;
 }
 
 async function listen(server: Server): Promise<RouterEntry> {
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -1,15 +1,16 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { Task } from '@pimentostall/core';
-import { Channel } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
-import type { CallerExchange, LocalReply, RequestEvent, RequestHead } from '../requests/ports.ts';
 import { RequestEventKind } from '../requests/ports.ts';
 import { serveRequest } from '../requests/serveRequest.ts';
 import type { IngressLimits } from '../types.ts';
+import { collectingBytes } from './bodyBuffer.ts';
+import { HttpExchange } from './httpExchange.ts';
+import type { InboundConnection } from './inboundConnection.ts';
+import { InboundServer } from './inboundServer.ts';
 import type { WireCodec } from './wireCodec.ts';
 
 /** Limits that apply until a configuration is loaded. */
@@ -47,20 +48,21 @@
  */
 const LINGER_MS = 1_000;
 
+/** Room beside a body of the largest size for what else a router at rest holds, such as idle connections. */
+const LARGE_REQUEST_MARGIN_BYTES = 2_097_152;
+
 /** State of one connection of a caller. */
 interface CallerConnection {
   /** Exchanges without a complete response, in the order of their requests. */
   readonly exchanges: Set<HttpExchange>;
-  /** Requests whose head was read. */
-  requestCount: number;
-  /** True once a response has announced the close: requests that are read later get no response and are not executed. */
-  closing: boolean;
+  readonly inbound: InboundConnection;
 }
 
 /** HTTP server for callers. Reads each request completely and then spawns a task to serve it. */
 export class CallerServer {
   readonly server: Server;
   private readonly connections = new Map<Duplex, CallerConnection>();
+  private readonly inbound: InboundServer;
 
   constructor(
     private readonly context: GatewayContext,
@@ -71,7 +73,7 @@
         keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS,
         maxHeaderSize: PARSER_MAX_HEADER_BYTES,
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
-        // The body needs no separate timeout, since the deadline of the request covers it.
+        // A body has a limit for the time in which nothing arrives, not for its duration.
         requestTimeout: 0,
         requireHostHeader: false,
       },
@@ -80,6 +82,11 @@
       },
     );
     this.server.headersTimeout = INITIAL_LIMITS.headerTimeoutMs;
+    this.inbound = new InboundServer(context, this.server, {
+      name: 'callers',
+      maxConnections: context.options.memory.maxCallerConnections,
+    });
+    this.admitLargestBody(INITIAL_LIMITS);
     this.server.on('clientError', (cause: NodeJS.ErrnoException, socket) => {
       if (cause.code === HEADER_TIMEOUT_CODE) {
         this.refuseUnlessRead(socket, cause);
@@ -93,6 +100,12 @@
   applyLimits(limits: IngressLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
+    this.admitLargestBody(limits);
+  }
+
+  /** Makes the memory account large enough for one body of the largest legal size. */
+  private admitLargestBody({ maxBodyBytes }: IngressLimits): void {
+    this.context.board.memory.admit(collectingBytes(maxBodyBytes) + LARGE_REQUEST_MARGIN_BYTES);
   }
 
   /** Tells all open requests that the router is about to exit; the board says which of them end. */
@@ -108,8 +121,13 @@
     const arrivedAtMs = this.context.loop.nowMs();
     const limits = this.context.board.configuration?.limits ?? INITIAL_LIMITS;
     const connection = this.connectionOf(message.socket);
-    connection.requestCount += 1;
-    if (connection.closing) {
+    if (connection === undefined) {
+      // The connection was closed while its bytes were parsed.
+      message.resume();
+      return;
+    }
+    const { exchanges, inbound } = connection;
+    if (inbound.closing) {
       this.context.metrics.count('pimentostall_ignored_requests_total');
       this.context.log(LogLevel.Info, 'request ignored; its connection is being closed', {
         requestId: this.codec.decodeRequest(message).requestId,
@@ -118,45 +136,40 @@
       return;
     }
     if (headerBytes(message) > limits.maxHeaderBytes) {
-      rejectRequest(connection, response, 431);
+      rejectRequest(inbound, response, 431);
       message.resume();
       return;
     }
     const head = this.codec.decodeRequest(message);
-    const { exchanges } = connection;
-    const exchange: HttpExchange = new HttpExchange(
-      this.context,
-      this.codec,
-      head,
-      response,
-      arrivedAtMs,
-      () => {
+    const exchange: HttpExchange = new HttpExchange(this.context, this.codec, head, response, arrivedAtMs, {
+      announceClose: () => {
         // The response before a pipelined request must not close the connection, since that request may be running.
         const announcesClose = this.context.board.draining && [...exchanges].at(-1) === exchange;
-        connection.closing ||= announcesClose;
+        inbound.closing ||= announcesClose;
         return announcesClose;
       },
-    );
+      watchResponse: () => {
+        inbound.watchResponse();
+      },
+    });
     exchanges.add(exchange);
     response.on('close', () => {
       exchanges.delete(exchange);
       exchange.closed();
     });
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    message.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes <= limits.maxBodyBytes) {
-        chunks.push(chunk);
-      } else if (!response.headersSent) {
-        rejectRequest(connection, response, 413);
-      }
-    });
-    message.on('end', () => {
-      if (sizeBytes <= limits.maxBodyBytes && !exchange.isDisconnected()) {
-        exchange.body = chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
-        this.dispatch(exchange);
-      }
+    inbound.readBody(message, response, {
+      maxBytes: limits.maxBodyBytes,
+      onComplete: (body) => {
+        if (!exchange.isDisconnected()) {
+          exchange.body = body;
+          this.dispatch(exchange);
+        }
+      },
+      onExceeded: () => {
+        if (!response.headersSent) {
+          rejectRequest(inbound, response, 413);
+        }
+      },
     });
     message.on('error', () => {
       // The connection failed while the body was read. Nothing was executed, and no response can be sent.
@@ -164,12 +177,14 @@
     });
   }
 
-  private connectionOf(socket: Duplex): CallerConnection {
+  /** Returns the state of a connection; undefined if it was closed by a limit. */
+  private connectionOf(socket: Duplex): CallerConnection | undefined {
     const existing = this.connections.get(socket);
-    if (existing !== undefined) {
+    const inbound = this.inbound.connectionOf(socket);
+    if (existing !== undefined || inbound === undefined) {
       return existing;
     }
-    const connection: CallerConnection = { exchanges: new Set(), requestCount: 0, closing: false };
+    const connection: CallerConnection = { exchanges: new Set(), inbound };
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
@@ -183,14 +198,14 @@
 
   /** Refuses a connection that exceeds the header timeout, unless its request arrived during a stall of the event loop. */
   private refuseUnlessRead(socket: Duplex, cause: NodeJS.ErrnoException): void {
-    const connection = this.connectionOf(socket);
-    const { requestCount } = connection;
+    const inbound = this.inbound.connectionOf(socket);
+    const requestCount = inbound?.requestCount;
     runAfterTurns(HEADER_TIMEOUT_DELAY_TURNS, () => {
-      if (connection.requestCount === requestCount) {
+      if (inbound?.requestCount === requestCount) {
         this.refuseConnection(socket, cause);
       } else {
         this.context.log(LogLevel.Info, 'request read after the header timeout had expired in a stall', {
-          requests: connection.requestCount,
+          requests: inbound?.requestCount,
         });
       }
     });
@@ -206,20 +221,26 @@
     }
     const connection = this.connectionOf(socket);
     // A response to a parser error would be taken as the response to an open request.
-    if (!socket.writable || cause.code === 'ECONNRESET' || connection.exchanges.size > 0) {
+    if (
+      connection === undefined ||
+      !socket.writable ||
+      cause.code === 'ECONNRESET' ||
+      connection.exchanges.size > 0
+    ) {
       socket.destroy();
       return;
     }
-    if (connection.closing) {
+    const { inbound } = connection;
+    if (inbound.closing) {
       return;
     }
-    connection.closing = true;
+    inbound.closing = true;
     const status = parserErrorStatus(cause.code);
     this.context.metrics.count('pimentostall_refused_connections_total', `status="${status.slice(0, 3)}"`);
     this.context.log(LogLevel.Info, 'caller connection refused without a complete request', {
       status,
       cause: cause.code ?? cause.message,
-      requests: connection.requestCount,
+      requests: inbound.requestCount,
     });
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     const timer = setTimeout(() => {
@@ -278,7 +299,7 @@
 }
 
 /** Rejects a request that exceeds a limit, and closes its connection after the response. */
-function rejectRequest(connection: CallerConnection, response: ServerResponse, status: 413 | 431): void {
+function rejectRequest(connection: InboundConnection, response: ServerResponse, status: 413 | 431): void {
   connection.closing = true;
   response.writeHead(status, { Connection: 'close', 'Content-Length': 0 });
   response.end();
@@ -291,87 +312,3 @@
   const textBytes = rawHeaders.reduce((sum, part) => sum + part.length, 0);
   return textBytes + (rawHeaders.length / 2) * HEADER_DELIMITER_BYTES;
 }
-
-class HttpExchange implements CallerExchange {
-  readonly events = new Channel<RequestEvent>();
-  body: Buffer = Buffer.alloc(0);
-  private gone = false;
-  private finished = false;
-  private isClosed = false;
-  private onClosed: (() => void) | undefined;
-
-  constructor(
-    private readonly context: GatewayContext,
-    private readonly codec: WireCodec,
-    readonly head: RequestHead,
-    private readonly response: ServerResponse,
-    readonly arrivedAtMs: number,
-    /** Called once, before the head of the response is written. */
-    private readonly announceClose: () => boolean,
-  ) {}
-
-  isDisconnected(): boolean {
-    return this.gone;
-  }
-
-  /** Handles the end of the exchange: the response has left the process, or the connection was closed before. */
-  closed(): void {
-    if (this.isClosed) {
-      return;
-    }
-    this.isClosed = true;
-    if (!this.finished) {
-      this.gone = true;
-      this.context.loop.push(this.events, { kind: RequestEventKind.CallerDisconnected });
-    }
-    this.onClosed?.();
-  }
-
-  /** Runs the callback once the response has left the process or can no longer be sent. */
-  whenClosed(callback: () => void): void {
-    if (this.isClosed) {
-      callback();
-    } else {
-      this.onClosed = callback;
-    }
-  }
-
-  start(status: number, headers: readonly string[]): void {
-    this.writeHead(status, headers);
-  }
-
-  write(data: Buffer, onWritable: () => void): boolean {
-    const writable = this.response.write(data);
-    if (!writable) {
-      this.response.once('drain', onWritable);
-    }
-    return writable;
-  }
-
-  end(): void {
-    this.finished = true;
-    this.response.end();
-  }
-
-  abort(): void {
-    this.finished = true;
-    const { socket, headersSent, chunkedEncoding } = this.response;
-    if (headersSent && !chunkedEncoding && socket instanceof Socket) {
-      // A caller of HTTP/1.0 takes an orderly close for the end of the response; only a reset shows that it broke off.
-      socket.resetAndDestroy();
-    }
-    this.response.destroy();
-  }
-
-  sendLocalReply(reply: LocalReply): void {
-    const encoded = this.codec.encodeLocalReply(reply);
-    this.writeHead(encoded.status, encoded.headers);
-    this.finished = true;
-    this.response.end(encoded.body);
-  }
-
-  private writeHead(status: number, headers: readonly string[]): void {
-    const closing = this.announceClose() ? ['Connection', 'close'] : [];
-    this.response.writeHead(status, [...headers, ...closing]);
-  }
-}
--- a/packages/gateway/src/http/index.ts
+++ b/packages/gateway/src/http/index.ts
@@ -1,4 +1,5 @@
 export { CallerServer } from './callerServer.ts';
+export { boundSmallServer } from './inboundServer.ts';
 export { PeerDocuments } from './peerDocuments.ts';
 export { PeerConnections } from './peerLoans.ts';
 export { PeerSuspects } from './peerSuspects.ts';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,9 @@
 export { chooseEntryAddresses } from './membership/entryAddresses.ts';
 export type { RouterView } from './membership/routerRegistry.ts';
 export { MembershipCache, RouterRegistry } from './membership/routerRegistry.ts';
+export { MemoryAccount, MemoryUse } from './memory/memoryAccount.ts';
+export type { MemoryOptions } from './memory/options.ts';
+export { connectionLimits, DEFAULT_MEMORY, memoryBoundBytes } from './memory/options.ts';
 export type { LedgerAccount } from './money/ledgerController.ts';
 export {
   handleStoreRecovery,
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -1,5 +1,7 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
+import type { MemoryOptions } from './memory/options.ts';
+import { DEFAULT_MEMORY } from './memory/options.ts';
 import type { SharePlanOptions } from './money/planShare.ts';
 import { DEFAULT_SHARE_PLAN } from './money/planShare.ts';
 import type { ReleaseOptions } from './money/release.ts';
@@ -45,6 +47,7 @@
   readonly budgetWaitTargetPart: number;
   readonly placement: PlacementOptions;
   readonly quarantine: QuarantineOptions;
+  readonly memory: MemoryOptions;
   readonly retryRatio: number;
   readonly retryWindowMs: number;
   readonly retrySlack: number;
@@ -88,6 +91,7 @@
   budgetWaitTargetPart: 0.2,
   placement: DEFAULT_PLACEMENT,
   quarantine: DEFAULT_QUARANTINE,
+  memory: DEFAULT_MEMORY,
   retryRatio: 0.1,
   retryWindowMs: 10_000,
   retrySlack: 20,
