--- a/packages/gateway/src/memory/options.ts
+++ b/packages/gateway/src/memory/options.ts
@@ -20,7 +20,7 @@
 export const DEFAULT_MEMORY: MemoryOptions = {
   boundBytes: 33_554_432,
   maxCallerConnections: 2_925,
-  maxOtherConnections: 243,
+  maxOtherConnections: 121,
   bodyStallMs: 20_000,
   responseStallMs: 20_000,
   maxPipelinedRequests: 8,
