Bound what upstreams, the store and single heads make the process hold

A response that is held until it is complete is charged to the memory account; its upstream is not read while there is no memory. A fetched response has at most 16 MiB and is collected in one buffer.

--- a/packages/gateway/src/http/fetchResponse.ts
+++ b/packages/gateway/src/http/fetchResponse.ts
@@ -1,7 +1,11 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
+import { ByteCollector } from '../requests/byteCollector.ts';
 import type { ProgressTimeout } from './progressTimeout.ts';
 
+/** Largest response that is read: more than a page of rows, of cache events or the configuration document takes. */
+const MAX_RESPONSE_BYTES = 16_777_216;
+
 export interface FetchedResponse {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
@@ -52,7 +56,7 @@
   private abortReason: Error | undefined;
   private status = 0;
   private headers: IncomingHttpHeaders = {};
-  private readonly chunks: Buffer[] = [];
+  private readonly body = new ByteCollector();
 
   constructor(
     private readonly timeout: ProgressTimeout,
@@ -86,12 +90,16 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.body.length + chunk.length > MAX_RESPONSE_BYTES) {
+      this.timeout.abort(new Error(`response of more than ${MAX_RESPONSE_BYTES} bytes`));
+      return;
+    }
     this.recordProgress();
-    this.chunks.push(chunk);
+    this.body.append(chunk);
   }
 
   onResponseEnd(): void {
-    this.resolve({ status: this.status, headers: this.headers, body: Buffer.concat(this.chunks) });
+    this.resolve({ status: this.status, headers: this.headers, body: this.body.take() });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController | undefined, cause: Error): void {
--- a/packages/gateway/src/requests/attemptProgress.ts
+++ b/packages/gateway/src/requests/attemptProgress.ts
@@ -2,6 +2,7 @@
 import type { Placement } from '../placement/chooseUpstream.ts';
 import type { ByteCollector } from './byteCollector.ts';
 import type { EventSplitter } from './eventSplitter.ts';
+import type { HeldResponse } from './heldResponse.ts';
 import type { UpstreamCall, UpstreamFailure, UpstreamResponseHead } from './ports.ts';
 
 export enum AttemptEnd {
@@ -53,6 +54,7 @@
   bodyBytes: number | undefined;
   /** Buffered part of a plain response, which is passed on to the caller once it is complete. */
   readonly held: ByteCollector;
+  readonly heldMemory: HeldResponse;
   /** Bytes of a plain response that were received. */
   plainBytes: number;
   /** `plainBytes` when the response last made progress. */
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -11,6 +11,7 @@
 import { checkTimeouts, MAX_HELD_RESPONSE_BYTES, nextTimeoutAtMs } from './attemptTimeouts.ts';
 import { ByteCollector } from './byteCollector.ts';
 import { EventSplitter } from './eventSplitter.ts';
+import { HeldResponse } from './heldResponse.ts';
 import type { RequestEvent, UpstreamResponseHead } from './ports.ts';
 import { RequestEventKind, UpstreamFailure } from './ports.ts';
 import type { ServedRequest } from './servedRequest.ts';
@@ -62,6 +63,7 @@
     }
   } finally {
     unanswered.remove();
+    progress.heldMemory.release();
     view.unsentAttempts.delete(progress.withdrawUnsent);
     view.inFlight -= 1;
     endPrefill(progress);
@@ -129,6 +131,7 @@
     head: undefined,
     bodyBytes: undefined,
     held: new ByteCollector(),
+    heldMemory: new HeldResponse(context, call),
     plainBytes: 0,
     progressBytes: 0,
     lastProgressAtMs: nowMs,
@@ -292,6 +295,7 @@
     writeToCaller(context, request, progress, split.data);
     recordAnswerStart(context, request, progress, context.options.quarantine.startConfirmMs);
   }
+  progress.heldMemory.update(progress.splitter.incompleteBytes);
   return progress.splitter.incompleteBytes > MAX_EVENT_BYTES
     ? rejectResponse(context, progress, `upstream sent an event of more than ${MAX_EVENT_BYTES} bytes`)
     : undefined;
@@ -320,6 +324,7 @@
   data: Buffer,
 ): AttemptResult | undefined {
   progress.held.append(data);
+  progress.heldMemory.update(progress.held.length);
   progress.plainBytes += data.length;
   if (progress.plainBytes - progress.progressBytes >= MIN_PROGRESS_BYTES) {
     recordProgress(progress, context.loop.nowMs());
@@ -342,6 +347,7 @@
 function writeHeldData(context: GatewayContext, request: ServedRequest, progress: AttemptProgress): void {
   if (progress.held.length > 0) {
     writeToCaller(context, request, progress, progress.held.take());
+    progress.heldMemory.update(0);
   }
 }
 
