--- a/packages/gateway/src/memory/options.ts
+++ b/packages/gateway/src/memory/options.ts
@@ -17,8 +17,9 @@
   readonly maxPipelinedRequests: number;
 }
 
+/** The bounds are those of a VM with 178 MB and 4,100 descriptors. */
 export const DEFAULT_MEMORY: MemoryOptions = {
-  boundBytes: 33_554_432,
+  boundBytes: 34_603_008,
   maxCallerConnections: 2_925,
   maxOtherConnections: 121,
   bodyStallMs: 20_000,
