--- a/packages/gateway/src/http/inboundConnection.ts
+++ b/packages/gateway/src/http/inboundConnection.ts
@@ -160,7 +160,7 @@
     this.sweepReading(elapsedMs);
     this.sweepUnread(elapsedMs);
     this.sweepLingering(elapsedMs);
-    return this.needsSweep;
+    return this.isReading || this.discarding || this.unread.isWaiting;
   }
 
   reclaim(): void {
@@ -228,6 +228,9 @@
         break;
       }
       this.parse(length);
+      if (this.arrivingBody?.isFinelyChunked === true) {
+        this.yieldTurn();
+      }
     }
     this.pumping = false;
     this.settle();
@@ -343,6 +346,14 @@
     this.options.socket.pause();
   }
 
+  /** Lets other connections be read first: a read of 64 KiB in chunks of one byte takes tens of milliseconds. */
+  private yieldTurn(): void {
+    this.hold();
+    setImmediate(() => {
+      this.goOn();
+    });
+  }
+
   /** Goes on with reading after the memory was allocated or a response has ended. */
   private goOn(): void {
     if (this.held && !this.isClosed) {
@@ -380,10 +391,6 @@
     return this.pending !== undefined || this.openBody !== undefined || this.headBytes > 0;
   }
 
-  private get needsSweep(): boolean {
-    return this.isReading || this.discarding || this.unread.isWaiting;
-  }
-
   private watch(): void {
     if (!this.isClosed) {
       this.memory.addHolder(this);
--- a/packages/gateway/src/http/incomingBody.ts
+++ b/packages/gateway/src/http/incomingBody.ts
@@ -12,6 +12,11 @@
   Refused = 'refused',
 }
 
+/** Mean size of the chunks of a body below which it is read in small steps. */
+const FINE_CHUNK_BYTES = 64;
+/** Chunks after which the mean size is known. */
+const MIN_COUNTED_CHUNKS = 64;
+
 export interface IncomingBodyOptions {
   readonly memory: MemoryAccount;
   readonly message: IncomingMessage;
@@ -32,6 +37,7 @@
   private readonly announcedBytes: number | undefined;
   private allocatedBytes = 0;
   private receivedBytes = 0;
+  private chunkCount = 0;
   /** True once nothing more is collected: the body is complete, exceeds its limit or was refused. */
   private isClosed = false;
   private withdrawWaiter: (() => void) | undefined;
@@ -42,6 +48,7 @@
     this.announcedBytes = announced === undefined ? undefined : Number(announced);
     message.on('data', (chunk: Buffer) => {
       this.receivedBytes += chunk.length;
+      this.chunkCount += 1;
       this.collect(chunk);
     });
     message.on('end', () => {
@@ -59,6 +66,15 @@
     return !this.isClosed;
   }
 
+  /** True for a chunked body whose chunks are so small that reading them takes much more time than their bytes would. */
+  get isFinelyChunked(): boolean {
+    return (
+      this.announcedBytes === undefined &&
+      this.chunkCount >= MIN_COUNTED_CHUNKS &&
+      this.receivedBytes < this.chunkCount * FINE_CHUNK_BYTES
+    );
+  }
+
   get isWaiting(): boolean {
     return this.withdrawWaiter !== undefined;
   }
