--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -10,6 +10,8 @@
 import type { PreviousIncarnation } from './money/liveness.ts';
 import type { MembershipReads } from './placement/coldAllowance.ts';
 import type { ColdRecords } from './placement/coldUpstreams.ts';
+import { MemoryAccount } from './memory/memoryAccount.ts';
+import { DEFAULT_MEMORY } from './memory/options.ts';
 import { LeavingUpstreams } from './placement/leavingUpstreams.ts';
 import type { UpstreamView } from './placement/upstreamView.ts';
 import { DEFAULT_QUARANTINE } from './quarantine/options.ts';
@@ -47,6 +49,10 @@
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly quarantine: QuarantineState;
   readonly engineLoad: EngineLoadState;
+  /** The bytes that callers and upstreams make the process hold. */
+  readonly memory: MemoryAccount;
+  /** True while the sweep of the memory account runs. */
+  memorySweepRuns: boolean;
   /** True once the process has received the stop signal. */
   draining: boolean;
   drainStartedAtMs: number;
@@ -70,7 +76,10 @@
   storeRecoveredAtMs: number | undefined;
 }
 
-export function createBlackboard(quarantine = DEFAULT_QUARANTINE): GatewayBlackboard {
+export function createBlackboard(
+  quarantine = DEFAULT_QUARANTINE,
+  memoryBoundBytes = DEFAULT_MEMORY.boundBytes,
+): GatewayBlackboard {
   const routers = new RouterRegistry();
   return {
     configuration: undefined,
@@ -90,6 +99,8 @@
     retryBudgets: new Map(),
     quarantine: createQuarantineState(quarantine),
     engineLoad: createEngineLoadState(),
+    memory: new MemoryAccount(memoryBoundBytes),
+    memorySweepRuns: false,
     draining: false,
     drainStartedAtMs: Infinity,
     endingRequests: false,
--- a/packages/gateway/src/http/__tests__/peerDocuments.test.ts
+++ b/packages/gateway/src/http/__tests__/peerDocuments.test.ts
@@ -6,6 +6,7 @@
 import { gzipSync } from 'node:zlib';
 import { request } from 'undici';
 import { createBlackboard } from '../../blackboard.ts';
+import { DEFAULT_OPTIONS } from '../../options.ts';
 import { recordReading } from '../../configuration/documentState.ts';
 import type { GatewayContext } from '../../context.ts';
 import { GatewayMetrics } from '../../observability/metrics.ts';
@@ -41,6 +42,7 @@
   return {
     board: createBlackboard(),
     loop,
+    options: DEFAULT_OPTIONS,
     log: () => undefined,
     metrics: new GatewayMetrics(),
     location: { availabilityZone: 'z', region: 'r', regionOf: () => 'r' },
--- a/packages/gateway/src/http/index.ts
+++ b/packages/gateway/src/http/index.ts
@@ -1,4 +1,5 @@
 export { CallerServer } from './callerServer.ts';
+export { boundSmallServer } from './inboundServer.ts';
 export { PeerDocuments } from './peerDocuments.ts';
 export { PeerLoads } from './peerLoads.ts';
 export { PeerConnections } from './peerLoans.ts';
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -1,5 +1,7 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
+import type { MemoryOptions } from './memory/options.ts';
+import { DEFAULT_MEMORY } from './memory/options.ts';
 import type { SharePlanOptions } from './money/planShare.ts';
 import { DEFAULT_SHARE_PLAN } from './money/planShare.ts';
 import type { ReleaseOptions } from './money/release.ts';
@@ -50,6 +52,7 @@
   readonly quarantine: QuarantineOptions;
   /** Bound of the requests to cold engines; undefined if the deployment has none, and cold engines are not limited. */
   readonly coldBound: Pick<ColdLimits, 'overshoot' | 'slack'> | undefined;
+  readonly memory: MemoryOptions;
   readonly retryRatio: number;
   readonly retryWindowMs: number;
   readonly retrySlack: number;
@@ -95,6 +98,7 @@
   placement: DEFAULT_PLACEMENT,
   quarantine: DEFAULT_QUARANTINE,
   coldBound: undefined,
+  memory: DEFAULT_MEMORY,
   retryRatio: 0.1,
   retryWindowMs: 10_000,
   retrySlack: 20,
