--- a/packages/gateway/src/http/inboundConnection.ts
+++ b/packages/gateway/src/http/inboundConnection.ts
@@ -98,6 +98,7 @@
       return;
     }
     this.requestCount += 1;
+    this.idleMs = 0;
     this.headBytes = 0;
     this.releaseHead();
     if (this.open.size === 0) {
@@ -388,7 +389,7 @@
   }
 
   private get isReading(): boolean {
-    return this.pending !== undefined || this.openBody !== undefined || this.headBytes > 0;
+    return this.pending !== undefined || this.arrivingBody !== undefined || this.headBytes > 0;
   }
 
   private watch(): void {
