Stop borrowers from spending loans after a budget cut

Loan replies report the granted amount with the version of its row and the budget under which it was read. A router that knows of an overdrawn budget reserves nothing and returns free tokens, borrowed ones included. A borrower whose reading is older than the cut asks a lender first, and a home router reads the totals at once while the store replies.

--- a/packages/gateway/src/http/peerLoans.ts
+++ b/packages/gateway/src/http/peerLoans.ts
@@ -3,6 +3,7 @@
 import { Agent } from 'undici';
 import type { GatewayContext } from '../context.ts';
 import { openAccount } from '../money/ledgerController.ts';
+import type { KnownGrant } from '../money/knownGrant.ts';
 import type { LoanCancellation, LoanReply, LoanRequest, PeerPort } from '../money/lending.ts';
 import { lendTokens, revokeLoan } from '../money/lending.ts';
 import { LogLevel } from '../observability/log.ts';
@@ -43,6 +44,7 @@
       undrawnTokens: decodeAmount(reply.undrawnTokens),
       heldTokens: decodeAmount(reply.heldTokens) ?? 0,
       remainingTokens: decodeAmount(reply.remainingTokens),
+      grant: decodeGrant(reply.grant),
     };
   }
 
@@ -112,7 +114,7 @@
 ): Task<void> {
   const reply: LoanReply = isBudgeted(context, loan.organisationName)
     ? yield* lendTokens(context, openAccount(context, loan.organisationName), loan)
-    : { tokens: 0, undrawnTokens: undefined, heldTokens: 0, remainingTokens: undefined };
+    : { tokens: 0, undrawnTokens: undefined, heldTokens: 0, remainingTokens: undefined, grant: undefined };
   sendJson(response, reply);
 }
 
@@ -165,6 +167,17 @@
     : undefined;
 }
 
+/** Returns undefined if an amount is missing. */
+function decodeGrant(value: unknown): KnownGrant | undefined {
+  const fields = (value ?? {}) as Partial<Record<keyof KnownGrant, unknown>>;
+  const totalVersion = decodeAmount(fields.totalVersion);
+  const grantedTokens = decodeAmount(fields.grantedTokens);
+  const budgetTokens = decodeAmount(fields.budgetTokens);
+  return totalVersion === undefined || grantedTokens === undefined || budgetTokens === undefined
+    ? undefined
+    : { totalVersion, grantedTokens, budgetTokens };
+}
+
 /** Returns undefined for anything but a finite amount that is not negative. */
 function decodeAmount(value: unknown): number | undefined {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0 ? value : undefined;
--- a/packages/gateway/src/money/__tests__/loadedFleet.ts
+++ b/packages/gateway/src/money/__tests__/loadedFleet.ts
@@ -34,6 +34,8 @@
 /** What the fleet has done with the requests of one organisation. */
 interface OrganisationState {
   budgetTokens: number;
+  /** Most tokens that may be spent or reserved: the budget, or what was when it was cut. */
+  ceilingTokens: number;
   /** Tokens spent, or reserved by requests that may be running. */
   spentTokens: number;
 }
@@ -73,7 +75,7 @@
   constructor(private readonly setup: FleetSetup) {
     this.store = new LoadedStore(this.timeline, setup.routerCount, () => this.isReplyLost());
     for (const [name, budgetTokens] of setup.budgets) {
-      this.organisations.set(name, { budgetTokens, spentTokens: 0 });
+      this.organisations.set(name, { budgetTokens, ceilingTokens: budgetTokens, spentTokens: 0 });
     }
     this.routers = Array.from({ length: setup.routerCount }, () => undefined);
     this.entries = this.routers.map((_, index) => ({
@@ -99,11 +101,11 @@
     return router?.alive === true ? router.context : undefined;
   }
 
-  /** Throws if an organisation has spent more than its budget. */
+  /** Throws if an organisation has spent more than its budget, or than it had when the budget was cut below that. */
   readonly checkBudgets = (): void => {
-    for (const [name, { budgetTokens, spentTokens }] of this.organisations) {
-      if (spentTokens > budgetTokens) {
-        throw new Error(`${name}: ${spentTokens} tokens of ${budgetTokens} are spent or reserved`);
+    for (const [name, { ceilingTokens, spentTokens }] of this.organisations) {
+      if (spentTokens > ceilingTokens) {
+        throw new Error(`${name}: ${spentTokens} tokens of ${ceilingTokens} are spent or reserved`);
       }
     }
   };
@@ -191,6 +193,21 @@
     );
   }
 
+  /** Changes a budget; all routers learn of it at once. */
+  setBudget(organisationName: string, budgetTokens: number): void {
+    const organisation = this.organisations.get(organisationName);
+    if (organisation === undefined) {
+      return;
+    }
+    organisation.budgetTokens = budgetTokens;
+    organisation.ceilingTokens = Math.max(budgetTokens, organisation.spentTokens);
+    for (const router of this.routers) {
+      if (router !== undefined) {
+        router.context.board.configuration = this.configuration();
+      }
+    }
+  }
+
   cutStore(): void {
     this.store.reachable = false;
   }
@@ -332,7 +349,12 @@
       maxRouterCount: () => this.routerCount,
     };
     board.storeLastReplyAtMs = timeline.nowMs;
-    board.configuration = {
+    board.configuration = this.configuration();
+    return context;
+  }
+
+  private configuration(): NonNullable<GatewayContext['board']['configuration']> {
+    return {
       version: 1,
       routes: [],
       services: new Map(),
@@ -345,7 +367,6 @@
       requiresKeys: true,
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     };
-    return context;
   }
 
   /** Calls a peer over a link; resolves with undefined if the peer does not reply in time. */
--- a/packages/gateway/src/money/__tests__/loans.property.test.ts
+++ b/packages/gateway/src/money/__tests__/loans.property.test.ts
@@ -19,6 +19,7 @@
   | { readonly kind: 'kill'; readonly router: number; readonly downMs: number }
   | { readonly kind: 'kill-all'; readonly downMs: number }
   | { readonly kind: 'drain'; readonly router: number }
+  | { readonly kind: 'set-budget'; readonly budgetPart: number }
   | { readonly kind: 'wait'; readonly durationMs: number };
 
 const router = fc.integer({ min: 0, max: ROUTERS - 1 });
@@ -38,6 +39,13 @@
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('kill' as const), router, downMs }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('kill-all' as const), downMs }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('drain' as const), router }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('set-budget' as const),
+      budgetPart: fc.double({ min: 0.2, max: 1, noNaN: true }),
+    }),
+  },
   {
     weight: 10,
     arbitrary: fc.record({
@@ -93,6 +101,9 @@
         fleet.drain(next.router);
         restartAfter(fleet, next.router, 9_000);
         break;
+      case 'set-budget':
+        fleet.setBudget(ORGANISATION, Math.floor(BUDGET_TOKENS * next.budgetPart));
+        break;
       case 'wait':
         await fleet.timeline.advance(next.durationMs, check);
         break;
--- a/packages/gateway/src/money/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -291,7 +291,13 @@
         });
       };
       if (lender?.alive !== true || account === undefined || this.random() < 0.1) {
-        answer({ tokens: 0, undrawnTokens: undefined, heldTokens: 0, remainingTokens: undefined });
+        answer({
+          tokens: 0,
+          undrawnTokens: undefined,
+          heldTokens: 0,
+          remainingTokens: undefined,
+          grant: undefined,
+        });
         return;
       }
       const lose = this.random() < 0.1;
--- a/packages/gateway/src/money/account.ts
+++ b/packages/gateway/src/money/account.ts
@@ -2,8 +2,10 @@
 import type { GatewayBlackboard } from '../blackboard.ts';
 import type { GatewayContext } from '../context.ts';
 import type { BudgetSight } from './budgetSight.ts';
+import type { KnownGrant } from './knownGrant.ts';
+import { isReadBeforeCut, newerGrant } from './knownGrant.ts';
 import type { OrganisationLedger } from './organisationLedger.ts';
-import type { ShareRoleKind } from './shareRole.ts';
+import { ShareRoleKind, shareRole } from './shareRole.ts';
 
 /** A request that waits for tokens. */
 export interface Waiter {
@@ -37,6 +39,8 @@
   drawsUntilMs: number;
   /** What the lenders last reported of the budget; undefined before the first report. */
   sight: BudgetSight | undefined;
+  /** How much of the budget is drawn, by the newest reply of the store or of a lender. */
+  grant: KnownGrant;
   /** Sequence number of the next loan that this router requests. */
   nextLoanNumber: number;
   /** Tokens of the loans that this router gave recently, by loan id; 0 for cancelled loans. */
@@ -65,11 +69,9 @@
 
 /** Reserves tokens of the share that are free now. */
 export function tryReserve(context: GatewayContext, account: LedgerAccount, tokens: number): boolean {
-  const { board, loop } = context;
+  const { loop } = context;
   const { ledger } = account;
-  // If the budget was reduced below the drawn amount, free tokens must be returned instead of spent.
-  const overdrawn = ledger.rows.total.grantedTokens > budgetOf(board, account.organisationName);
-  if (overdrawn || !ledger.tryReserve(tokens, silentMs(context, account))) {
+  if (isOverdrawn(context, account) || !ledger.tryReserve(tokens, silentMs(context, account))) {
     return false;
   }
   if (ledger.isLimitLow && loop.nowMs() >= account.backoffUntilMs) {
@@ -79,6 +81,42 @@
   return true;
 }
 
+/**
+ * True if no tokens may be reserved because the budget was cut: more is drawn than the budget, or this router does not
+ * know whether that is so. Free tokens are returned instead of spent.
+ */
+export function isOverdrawn(context: GatewayContext, account: LedgerAccount): boolean {
+  return (
+    account.grant.grantedTokens > budgetOf(context.board, account.organisationName) ||
+    isGrantOutdated(context, account)
+  );
+}
+
+/** True if the budget was cut since this router last learned how much is drawn, and it can learn that now. */
+export function isGrantOutdated(context: GatewayContext, account: LedgerAccount): boolean {
+  const { board, loop, options } = context;
+  if (!isReadBeforeCut(account.grant, budgetOf(board, account.organisationName))) {
+    return false;
+  }
+  switch (shareRole(context, account.organisationName).kind) {
+    case ShareRoleKind.Borrower:
+      return true;
+    case ShareRoleKind.Home:
+      // In an outage of the store it serves from what was debited before the cut.
+      return loop.nowMs() - (board.storeLastReplyAtMs ?? -Infinity) < options.settlePeriodMs;
+    case ShareRoleKind.Independent:
+      return false;
+  }
+}
+
+/** Records how much of the budget is drawn; a router that learns of an overdrawn budget returns its free tokens. */
+export function recordGrant(context: GatewayContext, account: LedgerAccount, grant: KnownGrant): void {
+  account.grant = newerGrant(account.grant, grant);
+  if (account.ledger.freeTokens > 0 && isOverdrawn(context, account)) {
+    wakeAccount(context, account);
+  }
+}
+
 /** Returns the budget of an organisation; 0 if it is unknown or has none. */
 export function budgetOf(board: GatewayBlackboard, organisationName: string): number {
   return board.configuration?.organisations.get(organisationName)?.tokenBudget ?? 0;
--- a/packages/gateway/src/money/borrowing.ts
+++ b/packages/gateway/src/money/borrowing.ts
@@ -4,7 +4,7 @@
 import { LogLevel } from '../observability/log.ts';
 import type { RouterEntry } from '../types.ts';
 import type { LedgerAccount } from './account.ts';
-import { silentMs, wakeWaiters } from './account.ts';
+import { isOverdrawn, recordGrant, silentMs, wakeWaiters } from './account.ts';
 import { orderLenders, recordPeerReply } from './lenderOrder.ts';
 import type { LoanReply, LoanRequest } from './lending.ts';
 import { loanTargetTokens, prefetchTokens } from './loanSize.ts';
@@ -41,13 +41,20 @@
   const nowMs = context.loop.nowMs();
   const waitingTokens = [...account.waiters].map(({ tokens }) => tokens);
   const spendableTokens = Math.max(0, ledger.spendableFreeTokens(silentMs(context, account)));
-  const leastNeededTokens = Math.min(...waitingTokens) - spendableTokens;
+  const role = shareRole(context, account.organisationName);
+  // A loan request also asks for newer totals, without which a borrower cannot use its tokens after a budget cut.
+  const asksForTotals = role.kind === ShareRoleKind.Borrower && isOverdrawn(context, account);
+  const leastNeededTokens = Math.max(
+    Math.min(...waitingTokens) - spendableTokens,
+    asksForTotals ? 1 : -Infinity,
+  );
   if (waitingTokens.length === 0 || leastNeededTokens <= 0) {
     return undefined;
   }
-  switch (shareRole(context, account.organisationName).kind) {
+  switch (role.kind) {
     case ShareRoleKind.Borrower: {
-      const neededTokens = waitingTokens.reduce((sum, tokens) => sum + tokens, 0) - spendableTokens;
+      const sumTokens = waitingTokens.reduce((sum, tokens) => sum + tokens, 0);
+      const neededTokens = Math.max(sumTokens - spendableTokens, leastNeededTokens);
       return { neededTokens, leastNeededTokens, extraTokens: loanTarget(account, nowMs) };
     }
     case ShareRoleKind.Home:
@@ -174,6 +181,9 @@
     loop.spawn('cancel loan', cancelLoan(context, peer, request));
     return;
   }
+  if (reply.grant !== undefined) {
+    recordGrant(context, account, reply.grant);
+  }
   if (reply.undrawnTokens !== undefined || reply.heldTokens > 0) {
     account.sight = { ...reply, receivedAtMs: nowMs };
   }
--- a/packages/gateway/src/money/budgetSight.ts
+++ b/packages/gateway/src/money/budgetSight.ts
@@ -1,3 +1,5 @@
+import type { KnownGrant } from './knownGrant.ts';
+
 /** What a lender reports of a budget together with a loan or a refusal. */
 export interface BudgetReport {
   /** Tokens of the budget that no router has drawn; undefined if the store does not reply to the lender. */
@@ -6,6 +8,8 @@
   readonly heldTokens: number;
   /** Upper bound of the tokens that are not spent, wherever they lie; undefined if the lender does not know it. */
   readonly remainingTokens: number | undefined;
+  /** How much of the budget is drawn, as the lender knows it; undefined for a lender of an older build. */
+  readonly grant: KnownGrant | undefined;
 }
 
 export interface BudgetSight extends BudgetReport {
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -4,7 +4,8 @@
 import { LogLevel } from '../observability/log.ts';
 import { superviseTask } from '../runtime/superviseTask.ts';
 import type { LedgerAccount } from './account.ts';
-import { budgetOf, wakeAccount, wakeWaiters } from './account.ts';
+import { budgetOf, isGrantOutdated, recordGrant, wakeAccount, wakeWaiters } from './account.ts';
+import { UNKNOWN_GRANT } from './knownGrant.ts';
 import { OrganisationLedger } from './organisationLedger.ts';
 import { ShareRoleKind, shareRole } from './shareRole.ts';
 import type { LedgerChange } from './types.ts';
@@ -36,6 +37,7 @@
     prefetchPausedUntilMs: -Infinity,
     drawsUntilMs: -Infinity,
     sight: undefined,
+    grant: UNKNOWN_GRANT,
     nextLoanNumber: 1,
     givenLoans: new Map(),
   };
@@ -114,6 +116,8 @@
       neededTokens: needs.reduce((sum, tokens) => sum + tokens, 0),
       leastNeededTokens: needs.length === 0 ? 0 : Math.min(...needs),
       role,
+      knownGrant: account.grant,
+      refreshesTotals: role.kind === ShareRoleKind.Home && isGrantOutdated(context, account),
       settlePeriodMs: totalsPeriodMs(context, account),
       nowMs: loop.nowMs(),
     },
@@ -189,9 +193,14 @@
   for (let tries = 0; change !== undefined && tries < options.ledgerConflictTries; tries += 1) {
     account.ledger.recordSent(change);
     const urgency = changeUrgency(context, account);
+    const budgetTokens = budgetOf(context.board, account.organisationName);
     const outcome = yield* loop.settled(ledgerStore.commit(account.organisationName, change, urgency));
     account.ledger.recordOutcome(change, outcome, loop.nowMs());
     logOutcome(context, account, change, outcome.kind);
+    const { totalVersion, total } = account.ledger.rows;
+    if (change.total !== undefined) {
+      recordGrant(context, account, { totalVersion, grantedTokens: total.grantedTokens, budgetTokens });
+    }
     switch (outcome.kind) {
       case LedgerOutcomeKind.Committed:
         account.rowCheckCount += 1;
--- a/packages/gateway/src/money/lending.ts
+++ b/packages/gateway/src/money/lending.ts
@@ -3,7 +3,7 @@
 import { LogLevel } from '../observability/log.ts';
 import type { RouterEntry } from '../types.ts';
 import type { LedgerAccount } from './account.ts';
-import { budgetOf, settleTokens, silentMs, wakeWaiters } from './account.ts';
+import { budgetOf, isGrantOutdated, settleTokens, silentMs, wakeWaiters } from './account.ts';
 import type { BudgetReport } from './budgetSight.ts';
 import { loanOfferTokens } from './loanSize.ts';
 import { reserveTokens, ReserveOutcomeKind } from './reserveTokens.ts';
@@ -182,5 +182,6 @@
     heldTokens: Math.max(0, ledger.freeTokens),
     remainingTokens:
       isHome && isStoreHeard ? Math.max(0, budgetTokens - ledger.rows.total.settledTokens) : undefined,
+    grant: isGrantOutdated(context, account) ? account.grant : { ...account.grant, budgetTokens },
   };
 }
--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -2,6 +2,7 @@
 import { DemandRate } from './demandRate.ts';
 import type { SharePlanOptions } from './planShare.ts';
 import { planShare } from './planShare.ts';
+import type { KnownGrant } from './knownGrant.ts';
 import type { PreviousIncarnation } from './liveness.ts';
 import type { ReleaseOptions } from './release.ts';
 import { spendableTokens } from './release.ts';
@@ -37,6 +38,10 @@
   /** Tokens of the smallest waiting request; 0 if none waits. */
   readonly leastNeededTokens: number;
   readonly role: ShareRole;
+  /** How much of the budget is drawn, by the newest reply of the store or of a lender. */
+  readonly knownGrant: KnownGrant;
+  /** True if the totals must be read again because the budget was cut since. */
+  readonly refreshesTotals: boolean;
   /** Maximum time until spending is reported in the totals. */
   readonly settlePeriodMs: number;
   readonly nowMs: number;
@@ -187,7 +192,8 @@
   /** Returns the next transaction, or undefined if no change is needed. */
   plan(input: LedgerPlanInput, options: SharePlanOptions): LedgerChange | undefined {
     const { budgetTokens, neededTokens, leastNeededTokens, role, settlePeriodMs, nowMs } = input;
-    if (neededTokens === 0 && this.livesOnLoans(role, budgetTokens)) {
+    const grantedTokens = this.newestGrantedTokens(input.knownGrant);
+    if (neededTokens === 0 && this.livesOnLoans(role, grantedTokens > budgetTokens)) {
       return undefined;
     }
     const freeTokens = Math.max(0, this.freeTokens);
@@ -211,7 +217,7 @@
           (ownDemand + fleetPrior / drawingRouterCount(role)) /
           (Math.max(fleetDemand, ownDemand) + fleetPrior),
         budgetTokens,
-        grantedTokens: total.grantedTokens - this.recoverableTokens,
+        grantedTokens: grantedTokens - this.recoverableTokens,
         remainingTokens: budgetTokens - total.settledTokens - total.strandedTokens,
         heldTokens: total.grantedTokens - total.settledTokens - total.strandedTokens,
       },
@@ -226,20 +232,21 @@
     });
     const refreshFraction = isHome ? HOME_LIMIT_REFRESH_FRACTION : LIMIT_REFRESH_FRACTION;
     const leastHeadroomTokens = Math.max(headroomTokens * refreshFraction, neededTokens);
-    if (!this.isChangeNeeded(change, leastHeadroomTokens)) {
+    const refreshesTotals = input.refreshesTotals && this.unanswered.length === 0;
+    if (!refreshesTotals && !this.isChangeNeeded(change, leastHeadroomTokens)) {
       return undefined;
     }
     const own = this.ownShare;
     // Changes of the totals may conflict with other routers; these only need a change of this router's row.
-    const grantedTokens = own?.grantedTokens ?? 0;
+    const ownGrantedTokens = own?.grantedTokens ?? 0;
     const shareChange: LedgerChange = {
       ...change,
       total: undefined,
       share: {
         ...change.share,
-        grantedTokens,
+        grantedTokens: ownGrantedTokens,
         settledTokens: own?.settledTokens ?? 0,
-        limitTokens: Math.min(change.share.limitTokens, grantedTokens),
+        limitTokens: Math.min(change.share.limitTokens, ownGrantedTokens),
       },
     };
     const postponed = neededTokens <= freeTokens && nowMs < this.totalsPostponedUntilMs;
@@ -255,8 +262,8 @@
       // Once this change is committed, or conflicts with the one that was applied, no other one can be applied.
       return shareChange;
     }
-    const totalsDue = delta !== 0 || nowMs - this.totalsCommittedAtMs >= settlePeriodMs;
-    if (totalsDue && !postponed) {
+    const totalsDue = refreshesTotals || delta !== 0 || nowMs - this.totalsCommittedAtMs >= settlePeriodMs;
+    if (totalsDue && (refreshesTotals || !postponed)) {
       return change;
     }
     // Once the limit covers the whole share, writing the row again would not help a waiting request.
@@ -419,9 +426,10 @@
 
   /**
    * True for a borrower whose share row has nothing to report: it holds no drawn tokens, and what it has spent are loans,
-   * which the lenders have reported. A row of an earlier incarnation must be recovered first.
+   * which the lenders have reported. A row of an earlier incarnation must be recovered first, and tokens of an overdrawn
+   * budget be returned.
    */
-  private livesOnLoans({ kind }: ShareRole, budgetTokens: number): boolean {
+  private livesOnLoans({ kind }: ShareRole, isOverdrawn: boolean): boolean {
     const own = this.ownShare;
     return (
       kind === ShareRoleKind.Borrower &&
@@ -430,10 +438,15 @@
       (own === undefined
         ? !this.hasUnrecoveredShare
         : own.grantedTokens <= own.settledTokens && this.spentTokens <= own.settledTokens) &&
-      this.snapshot.total.grantedTokens <= budgetTokens
+      (!isOverdrawn || this.freeTokens <= 0)
     );
   }
 
+  /** Tokens drawn by all routers, by the newest reply that showed them. */
+  private newestGrantedTokens({ totalVersion, grantedTokens }: KnownGrant): number {
+    return totalVersion > this.snapshot.totalVersion ? grantedTokens : this.snapshot.total.grantedTokens;
+  }
+
   /** Demand for which the share is planned, in tokens per second. */
   private plannedDemandPerSecond(role: ShareRole, budgetTokens: number, nowMs: number): number {
     const measuredTokensPerSecond = this.ownDemand.perSecond(nowMs);
