Allow for outstanding loans before a 402 in large fleets

Lenders count loans as settled when they give them, so that the totals show less than the true remaining amount. Borrowers take the bound of the lender that last replied. A report made under a lower budget than the current one refuses nothing.

--- a/packages/gateway/src/http/peerLoans.ts
+++ b/packages/gateway/src/http/peerLoans.ts
@@ -44,6 +44,7 @@
       undrawnTokens: decodeAmount(reply.undrawnTokens),
       heldTokens: decodeAmount(reply.heldTokens) ?? 0,
       remainingTokens: decodeAmount(reply.remainingTokens),
+      outstandingTokens: decodeAmount(reply.outstandingTokens) ?? 0,
       grant: decodeGrant(reply.grant),
     };
   }
@@ -114,7 +115,14 @@
 ): Task<void> {
   const reply: LoanReply = isBudgeted(context, loan.organisationName)
     ? yield* lendTokens(context, openAccount(context, loan.organisationName), loan)
-    : { tokens: 0, undrawnTokens: undefined, heldTokens: 0, remainingTokens: undefined, grant: undefined };
+    : {
+        tokens: 0,
+        undrawnTokens: undefined,
+        heldTokens: 0,
+        remainingTokens: undefined,
+        outstandingTokens: 0,
+        grant: undefined,
+      };
   sendJson(response, reply);
 }
 
--- a/packages/gateway/src/money/__tests__/loadedFleet.ts
+++ b/packages/gateway/src/money/__tests__/loadedFleet.ts
@@ -64,10 +64,13 @@
   readonly refusals: Refusals = { falseCount: 0, trueCount: 0 };
   readonly loans = { requested: 0, given: 0 };
   servedCount = 0;
+  /** Number of requests by outcome. */
+  readonly outcomes = new Map<ReserveOutcomeKind, number>();
   /** Waits for tokens of the served requests, in milliseconds. */
   readonly waitsMs: number[] = [];
   /** Refused requests by second and organisation, for a report. */
-  readonly log: { atMs: number; organisationName: string; tokens: number; outcome: string }[] = [];
+  readonly log: { atMs: number; organisationName: string; tokens: number; outcome: ReserveOutcomeKind }[] =
+    [];
   private readonly routers: (RouterProcess | undefined)[];
   private readonly entries: RouterEntry[];
   private processCount = 0;
@@ -244,6 +247,7 @@
     const { timeline } = this;
     const sentAtMs = timeline.nowMs;
     const finish = (outcome: ReserveOutcomeKind): void => {
+      this.outcomes.set(outcome, (this.outcomes.get(outcome) ?? 0) + 1);
       if (outcome !== ReserveOutcomeKind.Reserved) {
         const fits = organisation.budgetTokens - organisation.spentTokens >= tokens;
         this.refusals[fits ? 'falseCount' : 'trueCount'] += 1;
--- a/packages/gateway/src/money/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -296,6 +296,7 @@
           undrawnTokens: undefined,
           heldTokens: 0,
           remainingTokens: undefined,
+          outstandingTokens: 0,
           grant: undefined,
         });
         return;
--- a/packages/gateway/src/money/account.ts
+++ b/packages/gateway/src/money/account.ts
@@ -5,6 +5,7 @@
 import type { KnownGrant } from './knownGrant.ts';
 import { isReadBeforeCut, newerGrant } from './knownGrant.ts';
 import type { OrganisationLedger } from './organisationLedger.ts';
+import { outstandingLoanTokens } from './outstandingLoans.ts';
 import { ShareRoleKind, shareRole } from './shareRole.ts';
 
 /** A request that waits for tokens. */
@@ -109,6 +110,26 @@
   }
 }
 
+/**
+ * Returns an upper bound of the tokens that the totals show as spent but that lie unspent with borrowers. A borrower does
+ * not follow the totals and takes the bound of the lender that last replied if that is higher.
+ */
+export function outstandingTokens({ board, loop, self }: GatewayContext, account: LedgerAccount): number {
+  const { ledger, organisationName, sight } = account;
+  switch (shareRole({ board, self }, organisationName).kind) {
+    case ShareRoleKind.Home:
+    case ShareRoleKind.Borrower: {
+      const measuredTokens = outstandingLoanTokens({
+        budgetTokens: budgetOf(board, organisationName),
+        fleetDemandTokensPerSecond: ledger.fleetDemandPerSecond(loop.nowMs()),
+      });
+      return Math.max(measuredTokens, sight?.outstandingTokens ?? 0);
+    }
+    case ShareRoleKind.Independent:
+      return 0;
+  }
+}
+
 /** Records how much of the budget is drawn; a router that learns of an overdrawn budget returns its free tokens. */
 export function recordGrant(context: GatewayContext, account: LedgerAccount, grant: KnownGrant): void {
   account.grant = newerGrant(account.grant, grant);
--- a/packages/gateway/src/money/budgetSight.ts
+++ b/packages/gateway/src/money/budgetSight.ts
@@ -6,8 +6,13 @@
   readonly undrawnTokens: number | undefined;
   /** Tokens that the lender holds and that become spendable, at the latest when they are released in an outage. */
   readonly heldTokens: number;
-  /** Upper bound of the tokens that are not spent, wherever they lie; undefined if the lender does not know it. */
+  /**
+   * Upper bound of the tokens that are not spent, wherever they lie, loans included; undefined if the lender does not
+   * know it.
+   */
   readonly remainingTokens: number | undefined;
+  /** Upper bound of the tokens that lie unspent with borrowers, as the lender measures the demand. */
+  readonly outstandingTokens: number;
   /** How much of the budget is drawn, as the lender knows it; undefined for a lender of an older build. */
   readonly grant: KnownGrant | undefined;
 }
@@ -29,11 +34,20 @@
   );
 }
 
-/** Returns true if a lender has recently reported that the budget cannot cover the tokens. */
-export function isKnownExhausted(sight: BudgetSight | undefined, tokens: number, nowMs: number): boolean {
+/**
+ * Returns true if a lender has recently reported that the budget cannot cover the tokens. A report that was made under a
+ * lower budget than the current one says nothing.
+ */
+export function isKnownExhausted(
+  sight: BudgetSight | undefined,
+  tokens: number,
+  budgetTokens: number,
+  nowMs: number,
+): boolean {
   return (
     sight?.remainingTokens !== undefined &&
     nowMs - sight.receivedAtMs < MAX_SIGHT_AGE_MS &&
+    (sight.grant === undefined || sight.grant.budgetTokens >= budgetTokens) &&
     sight.remainingTokens < tokens
   );
 }
--- a/packages/gateway/src/money/lending.ts
+++ b/packages/gateway/src/money/lending.ts
@@ -3,7 +3,14 @@
 import { LogLevel } from '../observability/log.ts';
 import type { RouterEntry } from '../types.ts';
 import type { LedgerAccount } from './account.ts';
-import { budgetOf, isGrantOutdated, settleTokens, silentMs, wakeWaiters } from './account.ts';
+import {
+  budgetOf,
+  isGrantOutdated,
+  outstandingTokens,
+  settleTokens,
+  silentMs,
+  wakeWaiters,
+} from './account.ts';
 import type { BudgetReport } from './budgetSight.ts';
 import { loanOfferTokens } from './loanSize.ts';
 import { reserveTokens, ReserveOutcomeKind } from './reserveTokens.ts';
@@ -173,6 +180,7 @@
   const { ledger } = account;
   const isHome = shareRole(context, account.organisationName).kind === ShareRoleKind.Home;
   const budgetTokens = budgetOf(board, account.organisationName);
+  const outstanding = outstandingTokens(context, account);
   const isStoreHeard =
     loop.nowMs() - (board.storeLastReplyAtMs ?? -Infinity) < options.settlePeriodMs &&
     ledger.hasRecentTotals(loop.nowMs());
@@ -181,7 +189,10 @@
       isHome && isStoreHeard ? Math.max(0, budgetTokens - ledger.rows.total.grantedTokens) : undefined,
     heldTokens: Math.max(0, ledger.freeTokens),
     remainingTokens:
-      isHome && isStoreHeard ? Math.max(0, budgetTokens - ledger.rows.total.settledTokens) : undefined,
+      isHome && isStoreHeard
+        ? Math.max(0, budgetTokens - ledger.rows.total.settledTokens + outstanding)
+        : undefined,
+    outstandingTokens: outstanding,
     grant: isGrantOutdated(context, account) ? account.grant : { ...account.grant, budgetTokens },
   };
 }
--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -184,9 +184,19 @@
     this.spentTokens += spentTokens;
   }
 
-  /** True if the last known totals cannot cover the request, even if other routers return all unspent tokens. */
-  isExhausted(budgetTokens: number, tokens: number): boolean {
-    return this.syncedAtMs !== undefined && budgetTokens - this.snapshot.total.settledTokens < tokens;
+  /** Demand of the organisation at all routers in tokens per second, as the totals show it. */
+  fleetDemandPerSecond(nowMs: number): number {
+    return this.fleetDemand.perSecond(nowMs);
+  }
+
+  /**
+   * True if the last known totals cannot cover the request, even if other routers return all unspent tokens.
+   *
+   * @param outstandingTokens loans that the totals show as spent but that may lie unspent with borrowers
+   */
+  isExhausted(budgetTokens: number, outstandingTokens: number, tokens: number): boolean {
+    const { settledTokens } = this.snapshot.total;
+    return this.syncedAtMs !== undefined && budgetTokens - settledTokens + outstandingTokens < tokens;
   }
 
   /** Returns the next transaction, or undefined if no change is needed. */
--- a/packages/gateway/src/money/reserveTokens.ts
+++ b/packages/gateway/src/money/reserveTokens.ts
@@ -2,7 +2,7 @@
 import { Channel, receive } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
 import type { LedgerAccount, Waiter } from './account.ts';
-import { budgetOf, tryReserve, wakeAccount, wakeWaiters } from './account.ts';
+import { budgetOf, outstandingTokens, tryReserve, wakeAccount, wakeWaiters } from './account.ts';
 import { borrowInAdvance, borrowTokens, loanNeed } from './borrowing.ts';
 import { isKnownExhausted } from './budgetSight.ts';
 import { ShareRoleKind, shareRole } from './shareRole.ts';
@@ -48,7 +48,9 @@
     }
     return ReserveOutcomeKind.Reserved;
   }
-  if (isKnownExhausted(account.sight, tokens, loop.nowMs())) {
+  if (
+    isKnownExhausted(account.sight, tokens, budgetOf(context.board, account.organisationName), loop.nowMs())
+  ) {
     return ReserveOutcomeKind.BudgetExhausted;
   }
   const waiter: Waiter = { tokens, woken: new Channel<true>() };
@@ -85,8 +87,9 @@
       }
       const budget = budgetOf(context.board, account.organisationName);
       if (
-        (account.rowCheckCount > rowCheckCountBefore && ledger.isExhausted(budget, tokens)) ||
-        isKnownExhausted(account.sight, tokens, loop.nowMs())
+        (account.rowCheckCount > rowCheckCountBefore &&
+          ledger.isExhausted(budget, outstandingTokens(context, account), tokens)) ||
+        isKnownExhausted(account.sight, tokens, budget, loop.nowMs())
       ) {
         return ReserveOutcomeKind.BudgetExhausted;
       }
