--- a/packages/gateway/src/money/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -291,7 +291,14 @@
         });
       };
       if (lender?.alive !== true || account === undefined || this.random() < 0.1) {
-        answer({ tokens: 0, undrawnTokens: undefined, heldTokens: 0, remainingTokens: undefined });
+        answer({
+          tokens: 0,
+          undrawnTokens: undefined,
+          heldTokens: 0,
+          remainingTokens: undefined,
+          outstandingTokens: 0,
+          grant: undefined,
+        });
         return;
       }
       const lose = this.random() < 0.1;
