Leave modules out of the router's bundle that it does not use

The HTTP/2 client of undici loads http2, tls and crypto, and pino loads worker threads for its transports; the WebAssembly of the histograms brings pako along. The router uses none of them.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -2,6 +2,7 @@
 // file that the first argument names.
 import { fileURLToPath } from 'node:url';
 import { build } from 'esbuild';
+import { replaceUnusedModules } from './unusedModules.mjs';
 
 await build({
   entryPoints: ['platform/src/main.ts'],
@@ -12,6 +13,7 @@
     undici: fileURLToPath(new URL('undiciCore.mjs', import.meta.url)),
     'hdr-histogram-js': 'hdr-histogram-js/dist/HistogramBuilder.js',
   },
+  plugins: [replaceUnusedModules],
   minify: true,
   keepNames: true,
   platform: 'node',
