--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -36,7 +36,7 @@
 export type { GatewayOptions } from './options.ts';
 export { createOptions, DEFAULT_OPTIONS } from './options.ts';
 export type { CacheChange } from './placement/cacheView.ts';
-export { cacheFollowerCount } from './placement/cacheFollowers.ts';
+export { cacheFollowerCount, DEFAULT_MAX_FOLLOWED_ENGINES } from './placement/cacheFollowers.ts';
 export { CacheView } from './placement/cacheView.ts';
 export { EntryArrival } from './placement/coldEnd.ts';
 export type { ColdContext } from './placement/coldUpstreams.ts';
--- a/packages/gateway/src/placement/__tests__/cacheFollowers.test.ts
+++ b/packages/gateway/src/placement/__tests__/cacheFollowers.test.ts
@@ -23,3 +23,10 @@
   assert.equal(count(1_000, 4), 12);
   assert.equal(count(9, 13, false), 12);
 });
+
+test('with no engines to follow, no router of a large fleet polls, and a small fleet is not affected', () => {
+  // Guards against polls that the least number of followers would bring back.
+  const input = { maxCacheFollowers: 12, routerCount: 58, engineCount: 98, maxFollowedEngines: 0 };
+  assert.equal(cacheFollowerCount({ ...input, isLargeFleet: true }), 0);
+  assert.equal(cacheFollowerCount({ ...input, isLargeFleet: false }), 12);
+});
--- a/packages/gateway/src/placement/cacheFollowers.ts
+++ b/packages/gateway/src/placement/cacheFollowers.ts
@@ -4,10 +4,12 @@
   readonly routerCount: number;
   readonly engineCount: number;
   readonly isLargeFleet: boolean;
+  /** Engines that one router of a large fleet follows, on average; with 0, none follows any. */
+  readonly maxFollowedEngines?: number | undefined;
 }
 
-/** Engines that one router of a large fleet follows: about one call a second for each. */
-const MAX_FOLLOWED_ENGINES = 6;
+/** Each followed engine costs about a call a second. */
+export const DEFAULT_MAX_FOLLOWED_ENGINES = 6;
 /** Least number of followers of an engine: one may be down. */
 const MIN_CACHE_FOLLOWERS = 2;
 
@@ -21,10 +23,14 @@
   routerCount,
   engineCount,
   isLargeFleet,
+  maxFollowedEngines = DEFAULT_MAX_FOLLOWED_ENGINES,
 }: CacheFollowerInput): number {
   if (!isLargeFleet) {
     return maxCacheFollowers;
   }
-  const followers = Math.floor((MAX_FOLLOWED_ENGINES * routerCount) / Math.max(1, engineCount));
+  if (maxFollowedEngines === 0) {
+    return 0;
+  }
+  const followers = Math.floor((maxFollowedEngines * routerCount) / Math.max(1, engineCount));
   return Math.min(maxCacheFollowers, Math.max(MIN_CACHE_FOLLOWERS, followers));
 }
