Do not let V8 optimize WebAssembly in the router

The HTTP parser of undici is WebAssembly. V8 compiles it with Liftoff when it is loaded, and optimizes it again with TurboFan in threads of its own as soon as it is used; in the first seconds of a process that takes more processor time than the router's own code.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -7,7 +7,7 @@
 import { replaceUnusedModules } from './unusedModules.mjs';
 
 /** Arguments of Node in deploy/system.toml; V8 accepts a code cache only from a process with the same flags. */
-const NODE_ARGUMENTS = ['--max-old-space-size=96', '--max-semi-space-size=4'];
+const NODE_ARGUMENTS = ['--max-old-space-size=96', '--max-semi-space-size=4', '--liftoff-only'];
 
 const scriptPath = (name) => fileURLToPath(new URL(name, import.meta.url));
 
