--- a/packages/gateway/src/engineLoad/__tests__/simulatedSite.ts
+++ b/packages/gateway/src/engineLoad/__tests__/simulatedSite.ts
@@ -6,6 +6,7 @@
 import type { CacheChange } from '../../placement/cacheView.ts';
 import type { Placement } from '../../placement/chooseUpstream.ts';
 import { chooseUpstream } from '../../placement/chooseUpstream.ts';
+import type { RequestReach } from '../../placement/requestReach.ts';
 import type { PlacementOptions } from '../../placement/options.ts';
 import { DEFAULT_PLACEMENT } from '../../placement/options.ts';
 import { UpstreamView } from '../../placement/upstreamView.ts';
@@ -16,7 +17,7 @@
 import { PromptSource } from './promptLoad.ts';
 
 export const SERVICE = 'engines';
-const ZONES = ['a1', 'a2', 'a3', 'b1', 'b2', 'b3'];
+export const ZONES = ['a1', 'a2', 'a3', 'b1', 'b2', 'b3'];
 const REQUESTS_PER_SECOND = 220;
 /** Shared tokens that the cache of an engine holds. */
 const CACHE_TOKENS = 300_000;
@@ -46,6 +47,18 @@
   readonly skew: number;
   readonly cacheTokens: number;
   readonly placement: PlacementOptions;
+  /** One-way latency between zones; random within a region if undefined. */
+  readonly oneWayMs?: ((fromZone: string, toZone: string, nowMs: number) => number) | undefined;
+  /** Factor of the requests per second, and the router of a request; both constant if undefined. */
+  readonly demand?: SiteDemand | undefined;
+  /** Reach of a request; distance has a constant cost if undefined. */
+  readonly reachOf?: ((router: SimulatedRouter, prompt: SimulatedPrompt) => RequestReach) | undefined;
+}
+
+export interface SiteDemand {
+  rateFactor(nowMs: number): number;
+  /** @param drawn random number below 1 */
+  zoneOf(nowMs: number, drawn: number): string;
 }
 
 export const DEFAULT_SITE: SiteOptions = {
@@ -151,6 +164,8 @@
   readonly afterMs: number;
   readonly classIndex: number;
   readonly promptTokens: number;
+  readonly fromZone: string;
+  readonly toZone: string;
 }
 
 /** Routers and engines under the load of the work plan's part 6, without the rest of a router. */
@@ -187,7 +202,8 @@
   /** One-way delay of a message, with the lateness of the receiver's event loop. */
   delayMs(fromZone: string, toZone: string): number {
     const networkMs =
-      fromZone === toZone ? 0.5 : regionOf(fromZone) === regionOf(toZone) ? 0.5 + 3.5 * this.random() : 8;
+      this.options.oneWayMs?.(fromZone, toZone, this.events.nowMs) ??
+      (fromZone === toZone ? 0.5 : regionOf(fromZone) === regionOf(toZone) ? 0.5 + 3.5 * this.random() : 8);
     const lateMs = this.random() < 0.2 ? 30 * this.random() : 2 * this.random();
     return networkMs + lateMs;
   }
@@ -236,16 +252,25 @@
   }
 
   private scheduleArrival(): void {
-    const pauseMs = (-Math.log(1 - this.random()) * 1_000) / this.options.requestsPerSecond;
+    const { demand, requestsPerSecond } = this.options;
+    const rate = requestsPerSecond * (demand?.rateFactor(this.events.nowMs) ?? 1);
+    const pauseMs = (-Math.log(1 - this.random()) * 1_000) / rate;
     this.events.schedule(pauseMs, () => {
       this.scheduleArrival();
-      const router = this.routers[Math.floor(this.random() * this.routers.length)];
+      const router = this.drawRouter();
       if (router !== undefined) {
         this.send(router, this.prompts.next());
       }
     });
   }
 
+  private drawRouter(): SimulatedRouter | undefined {
+    const zone = this.options.demand?.zoneOf(this.events.nowMs, this.random());
+    const routers =
+      zone === undefined ? this.routers : this.routers.filter(({ self }) => self.availabilityZone === zone);
+    return routers[Math.floor(this.random() * routers.length)];
+  }
+
   private send(router: SimulatedRouter, prompt: SimulatedPrompt): void {
     const { events } = this;
     const sentAtMs = events.nowMs;
@@ -263,7 +288,14 @@
       engine?.receive(prompt, () => {
         events.schedule(this.delayMs(upstream.entry.availabilityZone, zone), () => {
           const { classIndex, promptTokens } = prompt;
-          this.firstEvents.push({ sentAtMs, afterMs: events.nowMs - sentAtMs, classIndex, promptTokens });
+          this.firstEvents.push({
+            sentAtMs,
+            afterMs: events.nowMs - sentAtMs,
+            classIndex,
+            promptTokens,
+            fromZone: zone,
+            toZone: upstream.entry.availabilityZone,
+          });
           upstream.pendingPrefillTokens -= uncachedTokens;
           upstream.recordSentParts(prompt.parts, events.nowMs);
           router.onChange(upstream, uncachedTokens);
@@ -295,6 +327,7 @@
         excluded: new Set(),
         spreadKey: undefined,
         tieKey: knowledge === Knowledge.Exchanged ? prompt.parts[1].partId : undefined,
+        reach: this.options.reachOf?.(router, prompt),
       },
       board.upstreams.values(),
       location,
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -1,7 +1,10 @@
 import { hash32 } from '@pimentostall/core';
 import type { PromptPart } from '../types.ts';
 import type { PlacementOptions } from './options.ts';
+import type { RequestReach, ZoneCost } from './requestReach.ts';
+import { chooseWithinReach } from './requestReach.ts';
 import type { UpstreamView } from './upstreamView.ts';
+import { constantDistanceMs, distanceOf, ZoneDistance } from './zoneDistance.ts';
 
 export interface PlacementRequest {
   readonly serviceName: string;
@@ -19,6 +22,8 @@
   readonly tieKey?: string | undefined;
   /** Called for each upstream that could take the request; true if it must not. */
   readonly isWithheld?: (upstream: UpstreamView) => boolean;
+  /** Set if the router decides which of its requests leave the zone; otherwise distance has a constant cost. */
+  readonly reach?: RequestReach | undefined;
 }
 
 export interface RouterLocation {
@@ -35,6 +40,11 @@
   readonly uncachedTokens: number;
 }
 
+/** A placement with the part of its cost that the load of the upstream causes. */
+export interface EstimatedPlacement extends Placement {
+  readonly loadMs: number;
+}
+
 /** Fraction of a shared prompt assumed to be cached on its first home engine before any cache events are known. */
 const HOME_CACHED_FRACTION = 0.9;
 
@@ -64,10 +74,15 @@
   if (request.spreadKey !== undefined) {
     return spreadPlacement(placements, request.spreadKey);
   }
+  const { reach, tieKey } = request;
+  if (reach !== undefined) {
+    const pick = tieKey === undefined ? undefined : (count: number): number => hash32(tieKey) % count;
+    return chooseWithinReach(placements, reach, options.spreadToleranceMs, pick);
+  }
   const best = minBy(placements, ({ costMs }) => costMs);
-  return best === undefined || request.tieKey === undefined
+  return best === undefined || tieKey === undefined
     ? best
-    : chooseAmongEqual(placements, best.costMs + options.spreadToleranceMs, request.tieKey);
+    : chooseAmongEqual(placements, best.costMs + options.spreadToleranceMs, tieKey);
 }
 
 /**
@@ -136,27 +151,35 @@
   location: RouterLocation,
   nowMs: number,
   options: PlacementOptions,
-): Placement {
-  const { promptParts, promptTokens } = request;
+): EstimatedPlacement {
+  const { promptParts, promptTokens, reach } = request;
   const sharedTokens = promptParts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
   const homeRank = homes.indexOf(upstream.entry.upstreamId);
   const assumedSharedTokens =
     homeRank === 0 && !upstream.cache.synced ? sharedTokens * HOME_CACHED_FRACTION : 0;
   const cachedTokens = Math.max(assumedSharedTokens, upstream.cachedTokens(promptParts, nowMs));
-  const preferenceMs = homeRank < 0 ? 0 : options.homePreferenceMs / (1 + homeRank);
+  const zone = zoneCostOf(upstream, reach, location, options);
+  const fullPreferenceMs = homeRank < 0 ? 0 : options.homePreferenceMs / (1 + homeRank);
+  // A short part in another zone is not worth more than its prefill.
+  const preferenceMs =
+    reach === undefined || zone.distance === ZoneDistance.OwnZone
+      ? fullPreferenceMs
+      : Math.min(fullPreferenceMs, sharedTokens / options.prefillTokensPerMs);
   const uncachedTokens = Math.max(0, promptTokens - cachedTokens);
   const { remoteLoad } = upstream;
-  const prefillTokens =
-    uncachedTokens + upstream.pendingPrefillTokens + remoteLoad.pendingPrefillTokens(nowMs);
+  const pendingTokens = upstream.pendingPrefillTokens + remoteLoad.pendingPrefillTokens(nowMs);
+  const loadMs =
+    pendingTokens / options.prefillTokensPerMs +
+    (upstream.inFlight + remoteLoad.inFlight(nowMs)) * options.batchCostMs;
   const costMs =
-    prefillTokens / options.prefillTokensPerMs +
-    (upstream.inFlight + remoteLoad.inFlight(nowMs)) * options.batchCostMs +
-    distanceCostMs(upstream, location, options) +
-    upstream.failureRate * options.failureCostMs +
+    uncachedTokens / options.prefillTokensPerMs +
+    loadMs +
+    zone.costMs +
+    upstream.recentFailureRate(reach?.failureMemoryMs ?? Infinity, nowMs) * options.failureCostMs +
     resumeCostMs(upstream, nowMs, options) +
     (isWarmingUp(upstream, nowMs) ? options.otherRegionCostMs : 0) -
     preferenceMs;
-  return { upstream, costMs, uncachedTokens };
+  return { upstream, costMs, uncachedTokens, loadMs: loadMs + zone.waitMs };
 }
 
 /** Whether an upstream responds slowly since it has just started. Its entry is only asked where no cold time is known. */
@@ -191,10 +214,15 @@
   return timesMs.length === 0 ? undefined : Math.min(...timesMs);
 }
 
-function distanceCostMs(upstream: UpstreamView, location: RouterLocation, options: PlacementOptions): number {
-  const zone = upstream.entry.availabilityZone;
-  if (zone === location.availabilityZone) {
-    return 0;
+function zoneCostOf(
+  { entry }: UpstreamView,
+  reach: RequestReach | undefined,
+  location: RouterLocation,
+  options: PlacementOptions,
+): ZoneCost {
+  if (reach !== undefined) {
+    return reach.zoneCost(entry.availabilityZone);
   }
-  return location.regionOf(zone) === location.region ? options.otherZoneCostMs : options.otherRegionCostMs;
+  const distance = distanceOf(entry.availabilityZone, location);
+  return { distance, costMs: constantDistanceMs(distance, options), waitMs: 0 };
 }
--- a/packages/gateway/src/placement/upstreamView.ts
+++ b/packages/gateway/src/placement/upstreamView.ts
@@ -51,6 +51,7 @@
   private doubt: { readonly fromMs: number; readonly untilMs: number } | undefined;
   private resumeReported = true;
   private consecutiveFailures = 0;
+  private failedAtMs = -Infinity;
   private readonly partSentAtMs = new Map<string, number>();
 
   constructor(
@@ -86,7 +87,20 @@
     this.failureRate *= 1 - FAILURE_WEIGHT;
   }
 
+  /**
+   * Returns the failure rate, which falls with the time since the last failure. Without that, an upstream with failures
+   * would have no responses that show its recovery while another one costs less.
+   *
+   * @param memoryMs time after which it is 0
+   */
+  recentFailureRate(memoryMs: number, nowMs: number): number {
+    return this.failureRate === 0
+      ? 0
+      : this.failureRate * Math.max(0, 1 - (nowMs - this.failedAtMs) / memoryMs);
+  }
+
   recordFailure(nowMs: number): void {
+    this.failedAtMs = nowMs;
     this.consecutiveFailures += 1;
     this.failureRate += (1 - this.failureRate) * FAILURE_WEIGHT;
     const excessFailures = this.consecutiveFailures - this.options.ejectionFailures;
