--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -179,7 +179,7 @@
     resumeCostMs(upstream, nowMs, options) +
     (isWarmingUp(upstream, nowMs) ? options.otherRegionCostMs : 0) -
     preferenceMs;
-  return { upstream, costMs, uncachedTokens, loadMs: loadMs + zone.waitMs };
+  return { upstream, costMs, uncachedTokens, loadMs };
 }
 
 /** Whether an upstream responds slowly since it has just started. Its entry is only asked where no cold time is known. */
--- a/packages/gateway/src/placement/createReach.ts
+++ b/packages/gateway/src/placement/createReach.ts
@@ -52,7 +52,7 @@
       }
       const distanceMs = state.distances.distanceMs(zone, location, placement);
       const waitMs = sharesLoads ? 0 : service.waitMs(zone, nowMs);
-      const cost = { distance: distanceOf(zone, location), costMs: Math.max(distanceMs, waitMs), waitMs };
+      const cost = { distance: distanceOf(zone, location), costMs: distanceMs, waitMs };
       zoneCosts.set(zone, cost);
       return cost;
     },
--- a/packages/gateway/src/placement/requestReach.ts
+++ b/packages/gateway/src/placement/requestReach.ts
@@ -4,9 +4,11 @@
 
 export interface ZoneCost {
   readonly distance: ZoneDistance;
-  /** The greater of distance and observed waiting time. */
   readonly costMs: number;
-  /** Observed waiting time, which counts as load. */
+  /**
+   * Waiting time that responses of the zone showed lately; 0 if not known. It counts for the gain of leaving, but not for
+   * the choice: all requests would follow a mean that is a second old.
+   */
   readonly waitMs: number;
 }
 
@@ -64,7 +66,11 @@
   if (own === undefined || region === undefined || all === undefined) {
     return undefined;
   }
-  reach.recordGains({ otherZonesMs: own - region, otherRegionMs: region - all });
+  const waits = leastWaits(placements, distances, reach);
+  reach.recordGains({
+    otherZonesMs: Math.max(own - region, waits[0] - waits[1]),
+    otherRegionMs: Math.max(region - all, waits[1] - waits[2]),
+  });
   const best = choices[reach.widest];
   if (pick === undefined || best === undefined) {
     return best?.placement;
@@ -93,6 +99,34 @@
   };
 }
 
+/** Returns the least sum of distance and observed waiting time up to each distance. Without upstreams, those beyond count. */
+function leastWaits(
+  placements: readonly EstimatedPlacement[],
+  distances: readonly ZoneDistance[],
+  reach: RequestReach,
+): readonly [number, number, number] {
+  let own = Infinity;
+  let zones = Infinity;
+  let region = Infinity;
+  for (const [index, { upstream }] of placements.entries()) {
+    const { costMs, waitMs } = reach.zoneCost(upstream.entry.availabilityZone);
+    switch (distances[index] ?? ZoneDistance.OwnZone) {
+      case ZoneDistance.OwnZone:
+        own = Math.min(own, costMs + waitMs);
+        break;
+      case ZoneDistance.OtherZone:
+        zones = Math.min(zones, costMs + waitMs);
+        break;
+      case ZoneDistance.OtherRegion:
+        region = Math.min(region, costMs + waitMs);
+        break;
+    }
+  }
+  const all = Math.min(own, zones, region);
+  const withinRegion = Math.min(own, zones) === Infinity ? all : Math.min(own, zones);
+  return [own === Infinity ? withinRegion : own, withinRegion, all];
+}
+
 function pickNearest(
   placements: readonly EstimatedPlacement[],
   distances: readonly ZoneDistance[],
--- a/packages/gateway/src/placement/zoneSpill.ts
+++ b/packages/gateway/src/placement/zoneSpill.ts
@@ -134,13 +134,14 @@
   );
 }
 
-/** Weight of the newest response in the mean response time of a zone. */
-const RESPONSE_WEIGHT = 0.15;
-/** Response times up to this factor of the least mean, or this much above it, are taken for the variation of work. */
+/** Time constant of the mean response time of a zone, and the least weight of a response after which it is used. */
+const RESPONSE_MEAN_MS = 800;
+/** Response times up to this factor of the usual mean, or this much above it, are taken for the variation of work. */
 const USUAL_FACTOR = 1.5;
 const USUAL_EXCESS_MS = 5;
-/** Time constant with which the least mean follows a mean that has risen for good. */
-const BASE_RISE_MS = 60_000;
+/** Time constants with which the usual time follows a mean that is lower or higher. */
+const USUAL_FALL_MS = 2_000;
+const USUAL_RISE_MS = 60_000;
 const MAX_ZONES = 64;
 
 interface ZoneResponses {
@@ -159,8 +160,8 @@
   private readonly zones: SpillFraction;
   private readonly region: SpillFraction;
   private readonly responses = new Map<string, ZoneResponses>();
-  private baseMs = Infinity;
-  private baseAtMs = 0;
+  private usualMs: number | undefined;
+  private usualAtMs = 0;
 
   constructor(private readonly options: ZoneSpillOptions = DEFAULT_ZONE_SPILL) {
     this.zones = new SpillFraction(ZoneDistance.OtherZone, options.otherZones, options);
@@ -200,23 +201,27 @@
         this.responses.set(zone, { meanMs: durationMs, atMs: nowMs });
       }
     } else {
-      known.meanMs += RESPONSE_WEIGHT * (durationMs - known.meanMs);
+      const elapsedMs = Math.max(MIN_GAIN_INTERVAL_MS, nowMs - known.atMs);
+      known.meanMs += (1 - Math.exp(-elapsedMs / RESPONSE_MEAN_MS)) * (durationMs - known.meanMs);
       known.atMs = nowMs;
     }
     const meanMs = this.responses.get(zone)?.meanMs ?? durationMs;
-    const riseFraction = Math.min(1, (nowMs - this.baseAtMs) / BASE_RISE_MS);
-    this.baseMs =
-      meanMs < this.baseMs ? meanMs : this.baseMs + riseFraction * Math.max(0, meanMs - this.baseMs);
-    this.baseAtMs = nowMs;
+    if (this.usualMs === undefined) {
+      this.usualMs = meanMs;
+    } else {
+      const constantMs = meanMs < this.usualMs ? USUAL_FALL_MS : USUAL_RISE_MS;
+      this.usualMs += (1 - Math.exp(-(nowMs - this.usualAtMs) / constantMs)) * (meanMs - this.usualMs);
+    }
+    this.usualAtMs = nowMs;
   }
 
   /** Returns by how much responses of a zone lately took longer than usual, in milliseconds; 0 if not known. */
   waitMs(zone: string, nowMs: number): number {
     const known = this.responses.get(zone);
-    if (known === undefined) {
+    if (known === undefined || this.usualMs === undefined) {
       return 0;
     }
-    const usualMs = Math.max(this.baseMs * USUAL_FACTOR, this.baseMs + USUAL_EXCESS_MS);
+    const usualMs = Math.max(this.usualMs * USUAL_FACTOR, this.usualMs + USUAL_EXCESS_MS);
     const weight = Math.max(0, 1 - (nowMs - known.atMs) / this.options.responseMemoryMs);
     return weight * Math.max(0, known.meanMs - usualMs);
   }
