--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -4,7 +4,7 @@
 import type { RequestReach, ZoneCost } from './requestReach.ts';
 import { chooseWithinReach } from './requestReach.ts';
 import type { UpstreamView } from './upstreamView.ts';
-import { constantDistanceMs, distanceOf, ZoneDistance } from './zoneDistance.ts';
+import { constantDistanceMs, distanceOf } from './zoneDistance.ts';
 
 export interface PlacementRequest {
   readonly serviceName: string;
@@ -159,12 +159,7 @@
     homeRank === 0 && !upstream.cache.synced ? sharedTokens * HOME_CACHED_FRACTION : 0;
   const cachedTokens = Math.max(assumedSharedTokens, upstream.cachedTokens(promptParts, nowMs));
   const zone = zoneCostOf(upstream, reach, location, options);
-  const fullPreferenceMs = homeRank < 0 ? 0 : options.homePreferenceMs / (1 + homeRank);
-  // A short part in another zone is not worth more than its prefill.
-  const preferenceMs =
-    reach === undefined || zone.distance === ZoneDistance.OwnZone
-      ? fullPreferenceMs
-      : Math.min(fullPreferenceMs, sharedTokens / options.prefillTokensPerMs);
+  const preferenceMs = homeRank < 0 ? 0 : options.homePreferenceMs / (1 + homeRank);
   const uncachedTokens = Math.max(0, promptTokens - cachedTokens);
   const { remoteLoad } = upstream;
   const pendingTokens = upstream.pendingPrefillTokens + remoteLoad.pendingPrefillTokens(nowMs);
--- a/packages/gateway/src/placement/createReach.ts
+++ b/packages/gateway/src/placement/createReach.ts
@@ -44,6 +44,7 @@
   }
   return {
     widest: isRetry ? ZoneDistance.OtherRegion : service.widestOf(requestKey),
+    maxHoldMs: spill.maxHoldMs,
     failureMemoryMs: spill.failureMemoryMs,
     zoneCost: (zone) => {
       const known = zoneCosts.get(zone);
--- a/packages/gateway/src/placement/requestReach.ts
+++ b/packages/gateway/src/placement/requestReach.ts
@@ -16,6 +16,8 @@
 export interface RequestReach {
   /** How far it may go because nearer upstreams are busy. */
   readonly widest: ZoneDistance;
+  /** Most by which the load of nearer upstreams is preferred to distance beyond the reach. */
+  readonly maxHoldMs: number;
   /** Time within which the cost of an upstream's failures falls to 0. */
   readonly failureMemoryMs: number;
   zoneCost(zone: string): ZoneCost;
@@ -32,7 +34,7 @@
 
 /**
  * Returns the placement with the least cost within the reach of a request. Beyond it, an upstream counts as at least as
- * loaded as the least loaded one within; without an upstream within, it counts as it is. Of upstreams that cost almost
+ * loaded as the least loaded one within, up to a limit; without an upstream within, it counts as it is. Of upstreams that cost almost
  * the same, the nearest is returned, and of several equally near ones one by chance if `pick` is given.
  *
  * @param pick returns the index of one of several placements
@@ -50,7 +52,7 @@
   const costWithin = (placement: EstimatedPlacement, distance: ZoneDistance, widest: ZoneDistance): number =>
     distance <= widest
       ? placement.costMs
-      : placement.costMs + Math.max(0, floorsMs[widest] - placement.loadMs);
+      : placement.costMs + Math.min(reach.maxHoldMs, Math.max(0, floorsMs[widest] - placement.loadMs));
   const choices = DISTANCES.map((widest): Choice => ({ widest, placement: undefined, costMs: Infinity }));
   for (const [index, placement] of placements.entries()) {
     const distance = distances[index] ?? ZoneDistance.OwnZone;
--- a/packages/gateway/src/placement/zoneDistance.ts
+++ b/packages/gateway/src/placement/zoneDistance.ts
@@ -38,6 +38,11 @@
 const SPAN_MS = 5_000;
 /** Least distance of another zone: two zones with the same connection time still have a price for their traffic. */
 const MIN_DISTANCE_MS = 0.5;
+/**
+ * Cost of the other region beyond its latency: the link is narrow, and requests that gain less than this by crossing it
+ * take it from others. With the latency of a healthy link, the sum is about the constant cost.
+ */
+const REGION_LINK_COST_MS = 10;
 /** Zones that are remembered; several times those of a large deployment. */
 const MAX_ZONES = 64;
 
@@ -74,9 +79,11 @@
     const distance = distanceOf(zone, location);
     const ownMs = this.leastMs(location.availabilityZone);
     const zoneMs = this.leastMs(zone);
-    return distance === ZoneDistance.OwnZone || ownMs === undefined || zoneMs === undefined
-      ? constantDistanceMs(distance, options)
-      : Math.max(MIN_DISTANCE_MS, zoneMs - ownMs);
+    if (distance === ZoneDistance.OwnZone || ownMs === undefined || zoneMs === undefined) {
+      return constantDistanceMs(distance, options);
+    }
+    const linkCostMs = distance === ZoneDistance.OtherRegion ? REGION_LINK_COST_MS : 0;
+    return Math.max(MIN_DISTANCE_MS, zoneMs - ownMs) + linkCostMs;
   }
 
   private leastMs(zone: string): number | undefined {
--- a/packages/gateway/src/placement/zoneSpill.ts
+++ b/packages/gateway/src/placement/zoneSpill.ts
@@ -15,6 +15,11 @@
   readonly maxStep: number;
   /** Gain for which a fraction rises by 1 in a step, before the bounds of a step apply. */
   readonly fullStepGainMs: number;
+  /**
+   * A request beyond the fraction leaves nevertheless if waiting in its zone costs this much more: fractions follow a
+   * move of callers late.
+   */
+  readonly maxHoldMs: number;
   /** Time constant of the mean gain. */
   readonly gainMemoryMs: number;
   readonly otherZones: SpillBand;
@@ -31,9 +36,10 @@
 export const DEFAULT_ZONE_SPILL: ZoneSpillOptions = {
   stepPeriodMs: 250,
   minStep: 0.05,
-  maxStep: 0.25,
-  fullStepGainMs: 100,
-  gainMemoryMs: 500,
+  maxStep: 0.35,
+  fullStepGainMs: 40,
+  maxHoldMs: 30,
+  gainMemoryMs: 250,
   otherZones: { raiseAboveMs: 4, lowerBelowMs: 1 },
   otherRegion: { raiseAboveMs: 10, lowerBelowMs: 3 },
   maxRegionFraction: 0.5,
@@ -135,7 +141,7 @@
 }
 
 /** Time constant of the mean response time of a zone, and the least weight of a response after which it is used. */
-const RESPONSE_MEAN_MS = 800;
+const RESPONSE_MEAN_MS = 500;
 /** Response times up to this factor of the usual mean, or this much above it, are taken for the variation of work. */
 const USUAL_FACTOR = 1.5;
 const USUAL_EXCESS_MS = 5;
