--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -10,6 +10,8 @@
 import type { PreviousIncarnation } from './money/liveness.ts';
 import type { MembershipReads } from './placement/coldAllowance.ts';
 import type { ColdRecords } from './placement/coldUpstreams.ts';
+import type { ZoneSpillState } from './placement/createReach.ts';
+import { createZoneSpillState } from './placement/createReach.ts';
 import { LeavingUpstreams } from './placement/leavingUpstreams.ts';
 import type { UpstreamView } from './placement/upstreamView.ts';
 import { DEFAULT_QUARANTINE } from './quarantine/options.ts';
@@ -37,6 +39,8 @@
   readonly leavingUpstreams: LeavingUpstreams;
   /** Cold upstreams by id. */
   readonly coldRecords: ColdRecords;
+  /** What is known about leaving the zone. */
+  readonly zoneSpill: ZoneSpillState;
   readonly routers: RouterRegistry;
   readonly membershipReads: MembershipReads;
   /** Ids of the home routers by organisation name. */
@@ -82,6 +86,7 @@
     registerReadAtMs: -Infinity,
     leavingUpstreams: new LeavingUpstreams(),
     coldRecords: new Map(),
+    zoneSpill: createZoneSpillState(),
     routers,
     membershipReads: { firstAtMs: undefined, lastAtMs: -Infinity },
     homeRouters: new MembershipCache(routers),
--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -17,6 +17,8 @@
   readonly idleMarginMs: number;
   /** Maximum number of connections from this router to one upstream of a service. */
   connectionLimit(serviceName: string): number;
+  /** Called with the time in which a connection to an upstream was opened. */
+  onConnected?(upstream: UpstreamEntry, durationMs: number): void;
 }
 
 /** Upper bound for the idle timeout that an upstream advertises. */
@@ -99,7 +101,10 @@
     const pool = new Pool(`http://${upstream.address}`, {
       connections: this.options.connectionLimit(upstream.serviceName),
       pipelining: 1,
-      factory: (origin, options) => new ResetAwareClient(origin, options, connectTimeoutMs),
+      factory: (origin, options) =>
+        new ResetAwareClient(origin, options, connectTimeoutMs, (durationMs) =>
+          this.options.onConnected?.(upstream, durationMs),
+        ),
       keepAliveTimeout: idleTimeoutMs,
       keepAliveTimeoutThreshold: idleMarginMs,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
@@ -131,17 +136,24 @@
 class ResetAwareClient extends Client {
   private readonly current: CurrentConnection;
 
-  constructor(origin: string | URL, options: Client.Options, connectTimeoutMs: number) {
+  constructor(
+    origin: string | URL,
+    options: Client.Options,
+    connectTimeoutMs: number,
+    onConnected: (durationMs: number) => void,
+  ) {
     const current: CurrentConnection = { call: undefined, socket: undefined };
     const connect = buildConnector({ timeout: connectTimeoutMs });
     super(origin, {
       ...options,
       connect: (target, callback) => {
+        const startedAtMs = performance.now();
         connect(target, (...[cause, socket]) => {
           if (cause !== null) {
             callback(cause, null);
             return;
           }
+          onConnected(performance.now() - startedAtMs);
           current.socket = socket;
           // Registered before undici's own listeners, so that the call learns of a reset before `onResponseEnd`.
           socket.on('error', (failure: NodeJS.ErrnoException) => {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -49,6 +49,8 @@
 } from './placement/coldUpstreams.ts';
 export type { Placement, RouterLocation, PlacementRequest } from './placement/chooseUpstream.ts';
 export { chooseUpstream } from './placement/chooseUpstream.ts';
+export type { ZoneSpillOptions } from './placement/zoneSpill.ts';
+export { DEFAULT_ZONE_SPILL } from './placement/zoneSpill.ts';
 export { recordRetryAfter } from './placement/recordRetryAfter.ts';
 export { recordLeaving } from './placement/recordLeaving.ts';
 export type { PlacementOptions } from './placement/options.ts';
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -6,6 +6,7 @@
 import type { ColdLimits } from './placement/coldAllowance.ts';
 import type { PlacementOptions } from './placement/options.ts';
 import { DEFAULT_PLACEMENT } from './placement/options.ts';
+import type { ZoneSpillOptions } from './placement/zoneSpill.ts';
 import type { QuarantineOptions } from './quarantine/options.ts';
 import { DEFAULT_QUARANTINE } from './quarantine/options.ts';
 
@@ -47,6 +48,8 @@
   /** Maximum wait for tokens that may not come, as a fraction of the target latency (see money/tokenWait.ts). */
   readonly budgetWaitTargetPart: number;
   readonly placement: PlacementOptions;
+  /** Set if the router decides which of its requests leave the zone; otherwise distance has a constant cost. */
+  readonly zoneSpill: ZoneSpillOptions | undefined;
   readonly quarantine: QuarantineOptions;
   /** Bound of the requests to cold engines; undefined if the deployment has none, and cold engines are not limited. */
   readonly coldBound: Pick<ColdLimits, 'overshoot' | 'slack'> | undefined;
@@ -93,6 +96,7 @@
   borrowPauseMs: 150,
   budgetWaitTargetPart: 0.2,
   placement: DEFAULT_PLACEMENT,
+  zoneSpill: undefined,
   quarantine: DEFAULT_QUARANTINE,
   coldBound: undefined,
   retryRatio: 0.1,
--- a/packages/gateway/src/placement/requestReach.ts
+++ b/packages/gateway/src/placement/requestReach.ts
@@ -35,7 +35,7 @@
 /**
  * Returns the placement with the least cost within the reach of a request. Beyond it, an upstream counts as at least as
  * loaded as the least loaded one within, up to a limit; without an upstream within, it counts as it is. Of upstreams that cost almost
- * the same, the nearest is returned, and of several equally near ones one by chance if `pick` is given.
+ * the same, those within the reach are preferred, then the nearest; one of several is returned by chance if `pick` is given.
  *
  * @param pick returns the index of one of several placements
  */
@@ -77,7 +77,9 @@
   if (pick === undefined || best === undefined) {
     return best?.placement;
   }
-  return pickNearest(placements, distances, pick, (placement, distance) => {
+  // Within the reach all distances are alike, as for the constant costs.
+  const beyond = distances.map((distance) => (distance <= reach.widest ? ZoneDistance.OwnZone : distance));
+  return pickNearest(placements, beyond, pick, (placement, distance) => {
     return costWithin(placement, distance, reach.widest) <= best.costMs + toleranceMs;
   });
 }
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -26,6 +26,7 @@
 import { isRetryable, requestVerdict } from './servedRequest.ts';
 import type { WithheldRequest } from './suspectRequests.ts';
 import { checkQuarantine, endProbe, mayRiskEngine, recordEndedEngine } from './suspectRequests.ts';
+import { countDistance, recordZoneResponse, zoneReachOf } from './zoneReach.ts';
 
 /** Maximum number of failed connection attempts per request; they do not count as sent. */
 const MAX_UNSENT_ATTEMPTS = 3;
@@ -225,9 +226,11 @@
       finishUnplaced(context, request, cold);
       return;
     }
+    countDistance(context, request, placement);
     const mayRetry = request.sentCount + 1 < request.route.maxAttempts;
     const result = yield* runAttempt(context, request, placement, mayRetry);
     logAttempt(context, request, placement, result);
+    recordZoneResponse(context, request, placement, result);
     yield* recordEndedEngine(context, request, placement, result);
     const step = nextStep(context, request, result);
     if (step !== 'retry') {
@@ -252,6 +255,7 @@
       spreadKey: request.endedEngine ? request.requestId : undefined,
       tieKey: request.service.engine !== undefined && isSharingLoads(context) ? request.requestId : undefined,
       isWithheld: (upstream) => cold.isWithheld(upstream),
+      reach: zoneReachOf(context, request),
     },
     permittedUpstreams(context, request),
     context.location,
