--- a/packages/gateway/src/placement/requestReach.ts
+++ b/packages/gateway/src/placement/requestReach.ts
@@ -34,8 +34,9 @@
 
 /**
  * Returns the placement with the least cost within the reach of a request. Beyond it, an upstream counts as at least as
- * loaded as the least loaded one within, up to a limit; without an upstream within, it counts as it is. Of upstreams that cost almost
- * the same, those within the reach are preferred, then the nearest; one of several is returned by chance if `pick` is given.
+ * loaded as the least loaded one within, up to a limit; without an upstream within, it counts as it is. Of upstreams that
+ * cost almost the same, those within the reach are preferred, then the nearest; one of several is returned by chance if
+ * `pick` is given.
  *
  * @param pick returns the index of one of several placements
  */
@@ -103,7 +104,7 @@
   };
 }
 
-/** Returns the least sum of distance and observed waiting time up to each distance. Without upstreams, those beyond count. */
+/** Returns the least sum of distance and observed waiting time up to each distance, or beyond it without upstreams. */
 function leastWaits(
   placements: readonly EstimatedPlacement[],
   distances: readonly ZoneDistance[],
