--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -12,6 +12,8 @@
 import type { ColdRecords } from './placement/coldUpstreams.ts';
 import { MemoryAccount } from './memory/memoryAccount.ts';
 import { DEFAULT_MEMORY } from './memory/options.ts';
+import type { ZoneSpillState } from './placement/createReach.ts';
+import { createZoneSpillState } from './placement/createReach.ts';
 import { LeavingUpstreams } from './placement/leavingUpstreams.ts';
 import type { UpstreamView } from './placement/upstreamView.ts';
 import { DEFAULT_QUARANTINE } from './quarantine/options.ts';
@@ -39,6 +41,8 @@
   readonly leavingUpstreams: LeavingUpstreams;
   /** Cold upstreams by id. */
   readonly coldRecords: ColdRecords;
+  /** What is known about leaving the zone. */
+  readonly zoneSpill: ZoneSpillState;
   readonly routers: RouterRegistry;
   readonly membershipReads: MembershipReads;
   /** Ids of the home routers by organisation name. */
@@ -91,6 +95,7 @@
     registerReadAtMs: -Infinity,
     leavingUpstreams: new LeavingUpstreams(),
     coldRecords: new Map(),
+    zoneSpill: createZoneSpillState(),
     routers,
     membershipReads: { firstAtMs: undefined, lastAtMs: -Infinity },
     homeRouters: new MembershipCache(routers),
