Return idle loans to their lenders

A borrower without a request for two seconds, waiting or running, gives the rest of its loans back: one call per loan, none below a quarter of a typical request. The return names the loan and the lender's incarnation; the borrower debits the tokens first and does not repeat the call.

Returned rests show faults of the 402 in budgetExhausted.test.ts, corrected here: a report of a router that does not know the totals replaced a recent one of a home router; a home router asked for more than is left did not read outdated totals again; and home routers took over each other's bound of outstanding loans, which then never fell.

--- a/packages/gateway/src/__tests__/fleet/simulatedFleet.ts
+++ b/packages/gateway/src/__tests__/fleet/simulatedFleet.ts
@@ -348,7 +348,7 @@
             : this.call(from, () => receiveSuspects(to.context, message, context.self.routerId), to);
         },
       },
-      peerPort: { borrow: failUnusedPort, cancel: failUnusedPort },
+      peerPort: { borrow: failUnusedPort, cancel: failUnusedPort, returnLoan: failUnusedPort },
       upstreamPort: {
         open: (upstream, request, attempt, report) =>
           this.engines.open(upstream, request, attempt, report, context.self.routerId),
--- a/packages/gateway/src/http/__tests__/peerLoans.test.ts
+++ b/packages/gateway/src/http/__tests__/peerLoans.test.ts
@@ -32,7 +32,7 @@
   server.close();
 });
 
-for (const path of ['/loans', '/loans/cancel']) {
+for (const path of ['/loans', '/loans/cancel', '/loans/return']) {
   for (const body of ['null', '1', '"loan"', '[]', '{}', '{', '']) {
     test(`a body of ${body === '' ? 'no bytes' : body} on ${path} is rejected and does not end the process`, async () => {
       const response = await request(`http://127.0.0.1:${port}${path}`, {
--- a/packages/gateway/src/http/peerLoans.ts
+++ b/packages/gateway/src/http/peerLoans.ts
@@ -4,8 +4,8 @@
 import type { GatewayContext } from '../context.ts';
 import { openAccount } from '../money/ledgerController.ts';
 import type { KnownGrant } from '../money/knownGrant.ts';
-import type { LoanCancellation, LoanReply, LoanRequest, PeerPort } from '../money/lending.ts';
-import { lendTokens, revokeLoan } from '../money/lending.ts';
+import type { LoanCancellation, LoanReply, LoanRequest, LoanReturn, PeerPort } from '../money/lending.ts';
+import { acceptLoanReturn, lendTokens, revokeLoan } from '../money/lending.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { RouterEntry } from '../types.ts';
 import { fetchText } from './fetchResponse.ts';
@@ -13,9 +13,10 @@
 
 const LOAN_PATH = '/loans';
 const CANCEL_PATH = '/loans/cancel';
+const RETURN_PATH = '/loans/return';
 /** Timeout for a loan: twice the sum of a round trip between regions and a draw from the store. */
 const LOAN_TIMEOUT_MS = 120;
-/** Timeout for a cancellation; no request waits for it. */
+/** Timeout for a cancellation or a return; no request waits for it. */
 const CANCEL_TIMEOUT_MS = 1_000;
 /** Maximum number of connections to one peer. */
 const CONNECTIONS_PER_PEER = 2;
@@ -41,6 +42,8 @@
     // Routers of an older build reply with `tokens` alone.
     return {
       tokens: isPositiveTokenCount(reply.tokens) ? reply.tokens : 0,
+      lenderIncarnationId:
+        typeof reply.lenderIncarnationId === 'string' ? reply.lenderIncarnationId : undefined,
       undrawnTokens: decodeAmount(reply.undrawnTokens),
       heldTokens: decodeAmount(reply.heldTokens) ?? 0,
       remainingTokens: decodeAmount(reply.remainingTokens),
@@ -54,6 +57,11 @@
     return reply !== undefined;
   }
 
+  async returnLoan(peer: RouterEntry, loanReturn: LoanReturn): Promise<boolean> {
+    const reply = await this.post(this.cancelAgent, peer, RETURN_PATH, loanReturn, CANCEL_TIMEOUT_MS);
+    return reply !== undefined;
+  }
+
   /** Returns the parsed body of the response, or undefined if there is none. */
   private async post(
     dispatcher: Agent,
@@ -87,7 +95,7 @@
   }
 }
 
-/** Answers a loan request or a cancellation of a peer. Returns false if the call is neither. */
+/** Answers a loan request, a cancellation or a return of a peer. Returns false if the call is none of them. */
 export function answerLoanCall(
   context: GatewayContext,
   path: string,
@@ -96,6 +104,7 @@
 ): boolean {
   const loan = path === LOAN_PATH ? decodeLoan(text) : undefined;
   const cancellation = path === CANCEL_PATH ? decodeCancellation(text) : undefined;
+  const loanReturn = path === RETURN_PATH ? decodeReturn(text) : undefined;
   if (loan !== undefined) {
     context.loop.spawn('loan', handleLoanRequest(context, loan, response));
   } else if (cancellation !== undefined) {
@@ -104,8 +113,13 @@
       revokeLoan(context, openAccount(context, cancellation.organisationName), cancellation.loanId);
     }
     sendJson(response, {});
+  } else if (loanReturn !== undefined) {
+    if (isBudgeted(context, loanReturn.organisationName)) {
+      acceptLoanReturn(context, openAccount(context, loanReturn.organisationName), loanReturn);
+    }
+    sendJson(response, {});
   }
-  return loan !== undefined || cancellation !== undefined;
+  return loan !== undefined || cancellation !== undefined || loanReturn !== undefined;
 }
 
 function* handleLoanRequest(
@@ -117,6 +131,7 @@
     ? yield* lendTokens(context, openAccount(context, loan.organisationName), loan)
     : {
         tokens: 0,
+        lenderIncarnationId: undefined,
         undrawnTokens: undefined,
         heldTokens: 0,
         remainingTokens: undefined,
@@ -136,7 +151,7 @@
   response.end(body);
 }
 
-type LoanFields = Partial<Record<keyof LoanRequest, unknown>>;
+type LoanFields = Partial<Record<keyof LoanRequest | keyof LoanReturn, unknown>>;
 
 /** Returns no fields for text that is not a JSON object; the decoders then fail, and the server logs the request. */
 function parseLoanFields(text: string): LoanFields {
@@ -175,6 +190,14 @@
     : undefined;
 }
 
+function decodeReturn(text: string): LoanReturn | undefined {
+  const cancellation = decodeCancellation(text);
+  const { lenderIncarnationId, tokens } = parseLoanFields(text);
+  return cancellation !== undefined && typeof lenderIncarnationId === 'string' && isPositiveTokenCount(tokens)
+    ? { ...cancellation, lenderIncarnationId, tokens }
+    : undefined;
+}
+
 /** Returns undefined if an amount is missing. */
 function decodeGrant(value: unknown): KnownGrant | undefined {
   const fields = (value ?? {}) as Partial<Record<keyof KnownGrant, unknown>>;
--- a/packages/gateway/src/money/__tests__/budgetSight.test.ts
+++ b/packages/gateway/src/money/__tests__/budgetSight.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { BudgetSight } from '../budgetSight.ts';
-import { areTokensExpected, isKnownExhausted } from '../budgetSight.ts';
+import { areTokensExpected, isKnownExhausted, newerSight } from '../budgetSight.ts';
 import { outstandingLoanTokens } from '../outstandingLoans.ts';
 
 const BUDGET_TOKENS = 10_000;
@@ -47,6 +47,16 @@
   assert.equal(isKnownExhausted(sight({ remainingTokens: 0 }), 100, BUDGET_TOKENS + 1, FRESH_AT_MS), false);
 });
 
+test('a report without the totals does not replace a recent one with them', () => {
+  // Guards against 503 instead of 402 since the last router of a round, which is not a home router, knows no totals.
+  const known = sight({ remainingTokens: 500, undrawnTokens: 0 });
+  const heldOnly = sight({ heldTokens: 40, receivedAtMs: 0 });
+  assert.equal(newerSight(known, heldOnly, FRESH_AT_MS), known);
+  assert.deepEqual(newerSight(known, heldOnly, STALE_AT_MS), { ...heldOnly, receivedAtMs: STALE_AT_MS });
+  assert.deepEqual(newerSight(undefined, heldOnly, FRESH_AT_MS), { ...heldOnly, receivedAtMs: FRESH_AT_MS });
+  assert.equal(newerSight(known, sight({}), STALE_AT_MS), known);
+});
+
 test('outstanding loans are two seconds of the demand, and at least three hundredths of the budget', () => {
   // Guards against a 402 that a lender's measure of the demand, which follows a burst late, lets through.
   assert.equal(outstandingLoanTokens({ budgetTokens: 10_000, fleetDemandTokensPerSecond: 1_000 }), 2_000);
--- a/packages/gateway/src/money/__tests__/loadedFleet.ts
+++ b/packages/gateway/src/money/__tests__/loadedFleet.ts
@@ -9,7 +9,7 @@
 import { settleTokens } from '../account.ts';
 import { handleStoreRecovery, openAccount } from '../ledgerController.ts';
 import type { LoanReply } from '../lending.ts';
-import { lendTokens, revokeLoan } from '../lending.ts';
+import { acceptLoanReturn, lendTokens, revokeLoan } from '../lending.ts';
 import { maintainLivenessRecord, readPreviousIncarnation } from '../liveness.ts';
 import { reserveForRequest } from '../reserveForRequest.ts';
 import { ReserveOutcomeKind } from '../reserveTokens.ts';
@@ -62,7 +62,7 @@
   readonly store: LoadedStore;
   readonly organisations = new Map<string, OrganisationState>();
   readonly refusals: Refusals = { falseCount: 0, trueCount: 0 };
-  readonly loans = { requested: 0, given: 0 };
+  readonly loans = { requested: 0, given: 0, returned: 0 };
   servedCount = 0;
   /** Number of requests by outcome. */
   readonly outcomes = new Map<ReserveOutcomeKind, number>();
@@ -339,6 +339,14 @@
           });
           return reply === true;
         },
+        returnLoan: async (peer, loanReturn) => {
+          loans.returned += 1;
+          const reply = await this.peerCall<true>(self, peer, 1_000, (lender, answer) => {
+            acceptLoanReturn(lender, openAccount(lender, loanReturn.organisationName), loanReturn);
+            answer(true);
+          });
+          return reply === true;
+        },
       },
       suspectPort: { exchange: () => rejectCall() },
       upstreamPort: {
--- a/packages/gateway/src/money/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -1,10 +1,11 @@
 import type { RandomSource } from '@pimentostall/core';
 import type { GatewayContext } from '../../context.ts';
 import { drainRouter } from '../../drain/drainController.ts';
+import type { LedgerAccount } from '../account.ts';
 import { settleTokens } from '../account.ts';
 import { handleStoreRecovery } from '../ledgerController.ts';
-import type { LoanReply } from '../lending.ts';
-import { lendTokens, revokeLoan } from '../lending.ts';
+import type { LoanReply, LoanReturn } from '../lending.ts';
+import { acceptLoanReturn, lendTokens, revokeLoan } from '../lending.ts';
 import type { LivenessRecord } from '../liveness.ts';
 import { reserveTokens, ReserveOutcomeKind } from '../reserveTokens.ts';
 import type { BudgetTotal, LedgerChange, LedgerOutcome, ShareRecord } from '../types.ts';
@@ -293,6 +294,7 @@
       if (lender?.alive !== true || account === undefined || this.random() < 0.1) {
         answer({
           tokens: 0,
+          lenderIncarnationId: undefined,
           undrawnTokens: undefined,
           heldTokens: 0,
           remainingTokens: undefined,
@@ -318,8 +320,24 @@
     });
   }
 
-  /** Replies to cancellations are lost with the same probability as replies to loans. */
+  /** Replies to cancellations and returns are lost with the same probability as replies to loans. */
   cancelLoan(borrower: SimulatedRouter, lenderId: string, loanId: string): Promise<boolean> {
+    return this.callLender(borrower, lenderId, ({ context }, account) => {
+      revokeLoan(context, account, loanId);
+    });
+  }
+
+  returnLoan(borrower: SimulatedRouter, lenderId: string, loanReturn: LoanReturn): Promise<boolean> {
+    return this.callLender(borrower, lenderId, ({ context }, account) => {
+      acceptLoanReturn(context, account, loanReturn);
+    });
+  }
+
+  private callLender(
+    borrower: SimulatedRouter,
+    lenderId: string,
+    handle: (lender: SimulatedRouter, account: LedgerAccount) => void,
+  ): Promise<boolean> {
     const lender = this.routerProcesses.find((candidate) => candidate?.context.self.routerId === lenderId);
     const account = lender?.context.board.accounts.get(ORGANISATION);
     return new Promise((resolve) => {
@@ -336,7 +354,7 @@
       }
       const lose = this.random() < 0.1;
       lender.run(() => {
-        revokeLoan(lender.context, account, loanId);
+        handle(lender, account);
         answer(!lose);
       });
     });
--- a/packages/gateway/src/money/__tests__/simulatedRouter.ts
+++ b/packages/gateway/src/money/__tests__/simulatedRouter.ts
@@ -57,6 +57,7 @@
       ledgerStore: { commit: (_name, change) => fleet.commit(this, change) },
       peerPort: {
         borrow: (peer, request) => fleet.borrow(this, peer.routerId, request),
+        returnLoan: (peer, loanReturn) => fleet.returnLoan(this, peer.routerId, loanReturn),
         cancel: (peer, { loanId }) => fleet.cancelLoan(this, peer.routerId, loanId),
       },
       suspectPort: { exchange: () => fleet.rejectUpstreamCall() },
--- a/packages/gateway/src/money/account.ts
+++ b/packages/gateway/src/money/account.ts
@@ -6,6 +6,7 @@
 import { isReadBeforeCut, newerGrant } from './knownGrant.ts';
 import type { OrganisationLedger } from './organisationLedger.ts';
 import { outstandingLoanTokens } from './outstandingLoans.ts';
+import type { ReceivedLoan } from './returnLoans.ts';
 import { ShareRoleKind, shareRole } from './shareRole.ts';
 
 /** A request that waits for tokens. */
@@ -44,7 +45,9 @@
   grant: KnownGrant;
   /** Sequence number of the next loan that this router requests. */
   nextLoanNumber: number;
-  /** Tokens of the loans that this router gave recently, by loan id; 0 for cancelled loans. */
+  /** Loans received since the last return, oldest first; see returnLoans.ts. */
+  receivedLoans: readonly ReceivedLoan[];
+  /** Tokens of the loans that this router gave recently, by loan id; 0 for cancelled and returned loans. */
   readonly givenLoans: Map<string, number>;
 }
 
@@ -116,20 +119,28 @@
  */
 export function outstandingTokens({ board, loop, self }: GatewayContext, account: LedgerAccount): number {
   const { ledger, organisationName, sight } = account;
+  const measuredTokens = outstandingLoanTokens({
+    budgetTokens: budgetOf(board, organisationName),
+    fleetDemandTokensPerSecond: ledger.fleetDemandPerSecond(loop.nowMs()),
+  });
   switch (shareRole({ board, self }, organisationName).kind) {
     case ShareRoleKind.Home:
-    case ShareRoleKind.Borrower: {
-      const measuredTokens = outstandingLoanTokens({
-        budgetTokens: budgetOf(board, organisationName),
-        fleetDemandTokensPerSecond: ledger.fleetDemandPerSecond(loop.nowMs()),
-      });
+      return measuredTokens;
+    case ShareRoleKind.Borrower:
       return Math.max(measuredTokens, sight?.outstandingTokens ?? 0);
-    }
     case ShareRoleKind.Independent:
       return 0;
   }
 }
 
+/** True if the store replies and has recently shown the totals, so that this router can tell what is left of the budget. */
+export function knowsTotals({ board, loop, options }: GatewayContext, { ledger }: LedgerAccount): boolean {
+  const nowMs = loop.nowMs();
+  return (
+    nowMs - (board.storeLastReplyAtMs ?? -Infinity) < options.settlePeriodMs && ledger.hasRecentTotals(nowMs)
+  );
+}
+
 /** Records how much of the budget is drawn; a router that learns of an overdrawn budget returns its free tokens. */
 export function recordGrant(context: GatewayContext, account: LedgerAccount, grant: KnownGrant): void {
   account.grant = newerGrant(account.grant, grant);
--- a/packages/gateway/src/money/borrowing.ts
+++ b/packages/gateway/src/money/borrowing.ts
@@ -5,9 +5,11 @@
 import type { RouterEntry } from '../types.ts';
 import type { LedgerAccount } from './account.ts';
 import { isOverdrawn, recordGrant, silentMs, wakeWaiters } from './account.ts';
+import { newerSight } from './budgetSight.ts';
 import { orderLenders, recordPeerReply } from './lenderOrder.ts';
 import type { LoanReply, LoanRequest } from './lending.ts';
 import { loanTargetTokens, prefetchTokens } from './loanSize.ts';
+import { rememberReceivedLoan } from './returnLoans.ts';
 import { ShareRoleKind, shareRole } from './shareRole.ts';
 
 /** Period of its own demand that a router of a small fleet requests in addition to its need. */
@@ -184,11 +186,13 @@
   if (reply.grant !== undefined) {
     recordGrant(context, account, reply.grant);
   }
-  if (reply.undrawnTokens !== undefined || reply.heldTokens > 0) {
-    account.sight = { ...reply, receivedAtMs: nowMs };
-  }
+  account.sight = newerSight(account.sight, reply, nowMs);
   if (reply.tokens > 0) {
     account.ledger.receiveLoan(reply.tokens);
+    const { tokens, lenderIncarnationId } = reply;
+    if (lenderIncarnationId !== undefined) {
+      rememberReceivedLoan(account, { loanId: request.loanId, tokens, lender: peer, lenderIncarnationId });
+    }
     wakeWaiters(context, account);
   }
   loop.push(replies, reply);
--- a/packages/gateway/src/money/budgetSight.ts
+++ b/packages/gateway/src/money/budgetSight.ts
@@ -25,6 +25,22 @@
 /** Age from which a report says nothing about the budget any more. */
 const MAX_SIGHT_AGE_MS = 1_500;
 
+/**
+ * Returns what is known after another report. One without the totals, for example of a router that is not a home router,
+ * does not replace a recent one with them.
+ */
+export function newerSight(
+  sight: BudgetSight | undefined,
+  report: BudgetReport,
+  nowMs: number,
+): BudgetSight | undefined {
+  const saysNothing = report.undrawnTokens === undefined && report.heldTokens === 0;
+  const hasTotals = sight?.remainingTokens !== undefined && nowMs - sight.receivedAtMs < MAX_SIGHT_AGE_MS;
+  return saysNothing || (hasTotals && report.remainingTokens === undefined)
+    ? sight
+    : { ...report, receivedAtMs: nowMs };
+}
+
 /** Returns true if a lender has recently reported that the tokens can be drawn or are released soon. */
 export function areTokensExpected(sight: BudgetSight | undefined, tokens: number, nowMs: number): boolean {
   return (
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -4,9 +4,10 @@
 import { LogLevel } from '../observability/log.ts';
 import { superviseTask } from '../runtime/superviseTask.ts';
 import type { LedgerAccount } from './account.ts';
-import { budgetOf, isGrantOutdated, recordGrant, wakeAccount, wakeWaiters } from './account.ts';
+import { budgetOf, isGrantOutdated, knowsTotals, recordGrant, wakeAccount, wakeWaiters } from './account.ts';
 import { UNKNOWN_GRANT } from './knownGrant.ts';
 import { OrganisationLedger } from './organisationLedger.ts';
+import { returnIdleLoans } from './returnLoans.ts';
 import { ShareRoleKind, shareRole } from './shareRole.ts';
 import type { LedgerChange } from './types.ts';
 import { ChangeUrgency, LedgerOutcomeKind } from './types.ts';
@@ -39,6 +40,7 @@
     sight: undefined,
     grant: UNKNOWN_GRANT,
     nextLoanNumber: 1,
+    receivedLoans: [],
     givenLoans: new Map(),
   };
   context.board.accounts.set(organisationName, account);
@@ -82,6 +84,7 @@
   let failures = 0;
   while (!context.board.stopped) {
     yield* receive(account.wake, nextMs);
+    returnIdleLoans(context, account);
     const change = nextChange(context, account);
     if (change === undefined) {
       nextMs = loop.nearestTickMs(options.settlePeriodMs);
@@ -117,7 +120,7 @@
       leastNeededTokens: needs.length === 0 ? 0 : Math.min(...needs),
       role,
       knownGrant: account.grant,
-      refreshesTotals: role.kind === ShareRoleKind.Home && isGrantOutdated(context, account),
+      refreshesTotals: role.kind === ShareRoleKind.Home && needsTotals(context, account),
       settlePeriodMs: totalsPeriodMs(context, account),
       nowMs: loop.nowMs(),
     },
@@ -125,6 +128,19 @@
   );
 }
 
+/**
+ * True if a home router must read the totals again: the budget was cut since, or a request waits for more than what was
+ * left, and the store has not shown the totals recently. Without them, it could not report that the budget is used up.
+ */
+function needsTotals(context: GatewayContext, account: LedgerAccount): boolean {
+  const { grant, organisationName, waiters } = account;
+  const undrawnTokens = budgetOf(context.board, organisationName) - grant.grantedTokens;
+  return (
+    isGrantOutdated(context, account) ||
+    (!knowsTotals(context, account) && [...waiters].some(({ tokens }) => tokens > undrawnTokens))
+  );
+}
+
 /** Logs when this router becomes a home router of the organisation or is one no longer. */
 function recordRole({ log }: GatewayContext, account: LedgerAccount, roleKind: ShareRoleKind): void {
   const previousKind = account.roleKind;
--- a/packages/gateway/src/money/lending.ts
+++ b/packages/gateway/src/money/lending.ts
@@ -6,6 +6,7 @@
 import {
   budgetOf,
   isGrantOutdated,
+  knowsTotals,
   outstandingTokens,
   settleTokens,
   silentMs,
@@ -30,12 +31,20 @@
 export interface LoanReply extends BudgetReport {
   /** Tokens that the lender has debited from its share; 0 if it gives none. */
   readonly tokens: number;
+  /** Needed to return the loan; undefined for a lender of an older build, which does not take loans back. */
+  readonly lenderIncarnationId: string | undefined;
 }
 
 /** Cancels a loan whose reply was not received. */
 export type LoanCancellation = Pick<LoanRequest, 'loanId' | 'organisationName'>;
 
-/** Requests and cancels loans of tokens at other routers. */
+/** Gives the unspent tokens of a loan back. */
+export interface LoanReturn extends LoanCancellation {
+  readonly lenderIncarnationId: string;
+  readonly tokens: number;
+}
+
+/** Requests, cancels and returns loans of tokens at other routers. */
 export interface PeerPort {
   /**
    * Requests a loan. Returns undefined if no reply arrived in time: the loan may have been given, and a late reply is
@@ -44,6 +53,8 @@
   borrow(peer: RouterEntry, request: LoanRequest): Promise<LoanReply | undefined>;
   /** Cancels a loan. Returns false if the peer did not reply. */
   cancel(peer: RouterEntry, cancellation: LoanCancellation): Promise<boolean>;
+  /** Returns unspent tokens of a loan. Resolves with false if the peer did not reply; it may have received them. */
+  returnLoan(peer: RouterEntry, loanReturn: LoanReturn): Promise<boolean>;
 }
 
 /** Period of its own demand that a lender retains, unless it draws in advance for what it lends. */
@@ -67,7 +78,25 @@
   }
 }
 
-/** Records a loan, with 0 tokens if it was cancelled, and drops the oldest entries. */
+/**
+ * Takes back the unspent tokens of a loan. Each loan is taken back once, and only by the incarnation that gave it: its
+ * next one has no record of the loan, and the tokens stay spent.
+ */
+export function acceptLoanReturn(
+  context: GatewayContext,
+  account: LedgerAccount,
+  { loanId, lenderIncarnationId, tokens }: LoanReturn,
+): void {
+  const givenTokens = account.givenLoans.get(loanId) ?? 0;
+  if (lenderIncarnationId !== context.self.incarnationId || givenTokens === 0) {
+    return;
+  }
+  rememberLoan(account.givenLoans, loanId, 0);
+  account.ledger.receiveLoan(Math.min(tokens, givenTokens));
+  wakeWaiters(context, account);
+}
+
+/** Records a loan, with 0 tokens if it was cancelled or returned, and drops the oldest entries. */
 function rememberLoan(loans: Map<string, number>, loanId: string, tokens: number): void {
   loans.delete(loanId);
   loans.set(loanId, tokens);
@@ -89,7 +118,7 @@
   if (tokens > 0) {
     context.log(LogLevel.Debug, 'loan given to peer', { ...request, lentTokens: tokens });
   }
-  return { tokens, ...reportBudget(context, account) };
+  return { tokens, lenderIncarnationId: context.self.incarnationId, ...reportBudget(context, account) };
 }
 
 function* lend(context: GatewayContext, account: LedgerAccount, request: LoanRequest): Task<number> {
@@ -176,22 +205,17 @@
 
 /** What this router knows of the budget; only home routers follow the totals closely enough. */
 function reportBudget(context: GatewayContext, account: LedgerAccount): BudgetReport {
-  const { board, loop, options } = context;
   const { ledger } = account;
   const isHome = shareRole(context, account.organisationName).kind === ShareRoleKind.Home;
-  const budgetTokens = budgetOf(board, account.organisationName);
+  const budgetTokens = budgetOf(context.board, account.organisationName);
   const outstanding = outstandingTokens(context, account);
-  const isStoreHeard =
-    loop.nowMs() - (board.storeLastReplyAtMs ?? -Infinity) < options.settlePeriodMs &&
-    ledger.hasRecentTotals(loop.nowMs());
+  const isKnown = isHome && knowsTotals(context, account);
   return {
-    undrawnTokens:
-      isHome && isStoreHeard ? Math.max(0, budgetTokens - ledger.rows.total.grantedTokens) : undefined,
+    undrawnTokens: isKnown ? Math.max(0, budgetTokens - ledger.rows.total.grantedTokens) : undefined,
     heldTokens: Math.max(0, ledger.freeTokens),
-    remainingTokens:
-      isHome && isStoreHeard
-        ? Math.max(0, budgetTokens - ledger.rows.total.settledTokens + outstanding)
-        : undefined,
+    remainingTokens: isKnown
+      ? Math.max(0, budgetTokens - ledger.rows.total.settledTokens + outstanding)
+      : undefined,
     outstandingTokens: outstanding,
     grant: isGrantOutdated(context, account) ? account.grant : { ...account.grant, budgetTokens },
   };
--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -116,6 +116,11 @@
     return this.reservedTokens;
   }
 
+  /** Monotonic time of the latest request; -Infinity before the first. */
+  get lastDemandAtMs(): number {
+    return this.lastRequestTimesMs.at(-1) ?? -Infinity;
+  }
+
   /** Moving average of the tokens of a request. */
   get averageTokens(): number {
     return this.averageRequestTokens;
@@ -178,6 +183,11 @@
     this.spentTokens -= tokens;
   }
 
+  /** Subtracts tokens of a loan that go back to the lender, by counting them as spent here. */
+  giveBackLoan(tokens: number): void {
+    this.spentTokens += tokens;
+  }
+
   /** Replaces a reservation with the tokens actually spent and frees the rest. */
   settle(reservedTokens: number, spentTokens: number): void {
     this.reservedTokens -= reservedTokens;
--- a/packages/gateway/src/money/reserveForRequest.ts
+++ b/packages/gateway/src/money/reserveForRequest.ts
@@ -1,7 +1,7 @@
 import type { Task } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
 import type { LedgerAccount } from './account.ts';
-import { budgetOf } from './account.ts';
+import { budgetOf, knowsTotals } from './account.ts';
 import { areTokensExpected } from './budgetSight.ts';
 import type { ReserveOutcomeKind } from './reserveTokens.ts';
 import { reserveTokens } from './reserveTokens.ts';
@@ -31,13 +31,10 @@
 
 /** True if the store or a home router has recently shown that the tokens are not drawn, and replies. */
 function areTokensInBudget(context: GatewayContext, account: LedgerAccount, tokens: number): boolean {
-  const { board, loop, options } = context;
-  const { ledger } = account;
-  const nowMs = loop.nowMs();
-  const isStoreHeard = nowMs - (board.storeLastReplyAtMs ?? -Infinity) < options.settlePeriodMs;
-  const undrawnTokens = budgetOf(board, account.organisationName) - ledger.rows.total.grantedTokens;
+  const undrawnTokens =
+    budgetOf(context.board, account.organisationName) - account.ledger.rows.total.grantedTokens;
   return (
-    (isStoreHeard && ledger.hasRecentTotals(nowMs) && undrawnTokens >= tokens) ||
-    areTokensExpected(account.sight, tokens, nowMs)
+    (knowsTotals(context, account) && undrawnTokens >= tokens) ||
+    areTokensExpected(account.sight, tokens, context.loop.nowMs())
   );
 }
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -148,7 +148,7 @@
         ready: true,
       },
       ledgerStore: { commit: failUnusedPort },
-      peerPort: { borrow: failUnusedPort, cancel: failUnusedPort },
+      peerPort: { borrow: failUnusedPort, cancel: failUnusedPort, returnLoan: failUnusedPort },
       suspectPort: { exchange: failUnusedPort },
       upstreamPort: {
         open: (upstream, request, attempt, report) =>
