--- a/packages/gateway/src/engineLoad/__tests__/eventQueue.ts
+++ b/packages/gateway/src/engineLoad/__tests__/eventQueue.ts
@@ -1,29 +1,19 @@
-interface ScheduledEvent {
-  readonly atMs: number;
-  readonly order: number;
-  readonly run: () => void;
-  cancelled: boolean;
-}
+import { EventHeap } from '../../__tests__/eventHeap.ts';
 
-/** Simulated clock with a binary heap of events, for simulations with more events than `Timeline` can sort. */
+/** Simulated clock that waits for promises by microtasks alone, for simulations with very many events. */
 export class EventQueue {
   nowMs = 0;
-  private readonly heap: ScheduledEvent[] = [];
-  private count = 0;
+  private readonly events = new EventHeap();
 
   schedule(delayMs: number, run: () => void): () => void {
-    this.count += 1;
-    const event = { atMs: this.nowMs + Math.max(0, delayMs), order: this.count, run, cancelled: false };
-    this.push(event);
-    return () => {
-      event.cancelled = true;
-    };
+    return this.events.add(this.nowMs + Math.max(0, delayMs), run);
   }
 
   /** Runs the events up to a time; promises that an event resolves run their callbacks before the next event. */
   async advanceTo(untilMs: number): Promise<void> {
-    for (let next = this.heap[0]; next !== undefined && next.atMs <= untilMs; next = this.heap[0]) {
-      this.pop();
+    const { events } = this;
+    for (let next = events.first; next !== undefined && next.atMs <= untilMs; next = events.first) {
+      events.removeFirst();
       if (next.cancelled) {
         continue;
       }
@@ -36,47 +26,4 @@
     }
     this.nowMs = untilMs;
   }
-
-  private push(event: ScheduledEvent): void {
-    const { heap } = this;
-    let index = heap.length;
-    heap.push(event);
-    while (index > 0) {
-      const parentIndex = (index - 1) >> 1;
-      const parent = heap[parentIndex];
-      if (parent === undefined || !isBefore(event, parent)) {
-        break;
-      }
-      heap[index] = parent;
-      heap[parentIndex] = event;
-      index = parentIndex;
-    }
-  }
-
-  private pop(): void {
-    const { heap } = this;
-    const last = heap.pop();
-    if (last === undefined || heap.length === 0) {
-      return;
-    }
-    let index = 0;
-    heap[0] = last;
-    for (;;) {
-      const left = heap[2 * index + 1];
-      const right = heap[2 * index + 2];
-      const isRight = left !== undefined && right !== undefined && isBefore(right, left);
-      const child = isRight ? right : left;
-      if (child === undefined || !isBefore(child, last)) {
-        return;
-      }
-      const childIndex = 2 * index + (isRight ? 2 : 1);
-      heap[index] = child;
-      heap[childIndex] = last;
-      index = childIndex;
-    }
-  }
-}
-
-function isBefore(a: ScheduledEvent, b: ScheduledEvent): boolean {
-  return a.atMs < b.atMs || (a.atMs === b.atMs && a.order < b.order);
 }
