--- a/packages/gateway/src/engineLoad/__tests__/measureLoad.ts
+++ b/packages/gateway/src/engineLoad/__tests__/measureLoad.ts
@@ -3,7 +3,7 @@
 import type { LatencySummary, SiteOptions } from './simulatedSite.ts';
 import { Knowledge, SimulatedSite, summarise } from './simulatedSite.ts';
 
-// Prints the times to the first event under the load of the work plan for each kind of knowledge of the load:
+// Prints the times to the first event under the load of docs/design/work-plan.md for each kind of knowledge of the load:
 // node --import tsx packages/gateway/src/engineLoad/__tests__/measureLoad.ts
 
 const SEEDS = [1, 2, 3];
--- a/packages/gateway/src/engineLoad/__tests__/simulatedSite.ts
+++ b/packages/gateway/src/engineLoad/__tests__/simulatedSite.ts
@@ -45,7 +45,7 @@
   readonly requestsPerSecond: number;
   /** Exponent of the popularity of shared parts; 0 for equally popular ones. */
   readonly skew: number;
-  /** Shared parts of each kind of prompt; undefined for the number of the work plan. */
+  /** Shared parts of each kind of prompt; undefined for the number of docs/design/work-plan.md. */
   readonly partsPerClass: number | undefined;
   readonly cacheTokens: number;
   readonly placement: PlacementOptions;
@@ -171,7 +171,7 @@
   readonly toZone: string;
 }
 
-/** Routers and engines under the load of the work plan's part 6, without the rest of a router. */
+/** Routers and engines under the load of part 6 of docs/design/work-plan.md, without the rest of a router. */
 export class SimulatedSite {
   readonly events = new EventQueue();
   readonly routers: SimulatedRouter[] = [];
--- a/packages/gateway/src/placement/__tests__/spillSite.ts
+++ b/packages/gateway/src/placement/__tests__/spillSite.ts
@@ -10,7 +10,7 @@
 const OTHER_ZONES_MS = [0.5, 1.5, 3.9];
 export const REGION_MS = 8;
 
-/** Symmetric one-way latencies within the limits of the work plan. */
+/** Symmetric one-way latencies within the limits of docs/design/work-plan.md. */
 export function oneWayMs(fromZone: string, toZone: string): number {
   if (fromZone === toZone) {
     return OWN_ZONE_MS;
