--- a/packages/gateway/src/placement/__tests__/zoneSpillLoad.test.ts
+++ b/packages/gateway/src/placement/__tests__/zoneSpillLoad.test.ts
@@ -46,6 +46,7 @@
     assert.ok((spillMs ?? Infinity) <= 1.05 * (constantMs ?? 0), `${constantMs} ms, now ${spillMs} ms`);
     const [before, now] = [constant, spill].map((site) => summariseTraffic(site, SINCE_MS));
     assert.ok(before !== undefined && now !== undefined);
+    assert.ok(now.otherZoneRequests < 0.95 * before.otherZoneRequests);
     const [leavingBefore, leavingNow] = [before, now].map(
       ({ otherZoneRequests, otherRegionRequests }) => otherZoneRequests + otherRegionRequests,
     );
