--- /dev/null
+++ b/review/lib-2/engine.mjs
@@ -0,0 +1,52 @@
+// Stand-in of an engine, as a process of its own. A request's path chooses what it does; its body is echoed whole.
+import { createServer } from 'node:http';
+
+const { host, port, id, runsFirst = 0 } = JSON.parse(process.argv[2]);
+const say = (record) => process.stdout.write(`${JSON.stringify({ id, ...record })}\n`);
+const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
+let runs = runsFirst;
+
+const server = createServer(async (request, response) => {
+  if (request.url === '/healthz') {
+    response.writeHead(200, { 'X-Instance-Id': id, 'Content-Length': 0 });
+    response.end();
+    return;
+  }
+  const attemptId = request.headers['x-attempt-id'];
+  if (request.headers['x-expected-instance'] !== undefined && request.headers['x-expected-instance'] !== id) {
+    say({ did: 'answers 421', attemptId });
+    response.writeHead(421, { 'X-Attempt-Id': attemptId, 'X-Not-Executed': '1', 'Content-Length': 0 });
+    response.end();
+    return;
+  }
+  for await (const chunk of request) void chunk;
+  runs += 1;
+  say({ did: 'runs', attemptId, path: request.url, lastEventId: request.headers['last-event-id'] });
+  const head = { 'X-Attempt-Id': attemptId, 'X-Response-Signature': `${id}.${runs}` };
+  const query = new URL(request.url, 'http://engine').searchParams;
+  const events = Number(query.get('events') ?? 0);
+  const gapMs = Number(query.get('gap') ?? 100);
+  // An answer without a length ends with its connection.
+  const framing = query.has('unframed') ? { Connection: 'close' } : {};
+  response.once('close', () => say({ did: response.writableFinished ? 'ended' : 'broke off', attemptId }));
+  if (query.has('unframed')) response.useChunkedEncodingByDefault = false;
+  if (events > 0) {
+    response.writeHead(200, { ...head, ...framing, 'Content-Type': 'text/event-stream' });
+    const first = 1 + Number(request.headers['last-event-id'] ?? 0);
+    for (let event = first; event <= events && !response.destroyed; event += 1) {
+      response.write(`id: ${event}\ndata: ${attemptId} ${event}/${events}\n\n`);
+      await sleep(gapMs);
+    }
+    response.end();
+    return;
+  }
+  const parts = Number(query.get('parts') ?? 1);
+  response.writeHead(200, { ...head, ...framing, 'Content-Type': 'text/plain' });
+  for (let part = 1; part <= parts && !response.destroyed; part += 1) {
+    response.write(`part ${part} of ${parts} for ${attemptId};`.padEnd(400, '.'));
+    await sleep(gapMs);
+  }
+  response.end();
+});
+server.keepAliveTimeout = 30_000;
+server.listen(port, host, () => say({ did: 'listens', at: `${host}:${port}` }));
