Case 7: a sound stream is given up in a pause, and its caller cut off around a SIGTERM

Cause: a resumable stream that makes no progress for 1.4 s is cancelled before it is known whether another upstream takes it (attemptTimeouts.ts). If none does, the caller's connection is aborted. Case: review/7/run.sh, one router that gets SIGTERM, one engine that preempts streams for 2 s, one full engine.

--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -1,10 +1,10 @@
 // Stand-in of an engine, as a process of its own. A request's path chooses what it does; its body is echoed whole.
 import { createServer } from 'node:http';
 
-const { host, port, id, runsFirst = 0 } = JSON.parse(process.argv[2]);
+const { host, port, id, isFull = false } = JSON.parse(process.argv[2]);
 const say = (record) => process.stdout.write(`${JSON.stringify({ id, ...record })}\n`);
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
-let runs = runsFirst;
+let runs = 0;
 
 const server = createServer(async (request, response) => {
   if (request.url === '/healthz') {
@@ -20,12 +20,21 @@
     return;
   }
   for await (const chunk of request) void chunk;
+  if (isFull) {
+    say({ did: 'is full and refuses', attemptId });
+    response.writeHead(503, { 'X-Attempt-Id': attemptId, 'X-Not-Executed': '1', 'Content-Length': 0 });
+    response.end();
+    return;
+  }
   runs += 1;
   say({ did: 'runs', attemptId, path: request.url, lastEventId: request.headers['last-event-id'] });
   const head = { 'X-Attempt-Id': attemptId, 'X-Response-Signature': `${id}.${runs}` };
   const query = new URL(request.url, 'http://engine').searchParams;
   const events = Number(query.get('events') ?? 0);
   const gapMs = Number(query.get('gap') ?? 100);
+  // A preempted run pauses in the middle of its stream.
+  const pauseAfter = Number(query.get('pause-after') ?? 0);
+  const pauseMs = Number(query.get('pause') ?? 0);
   // An answer without a length ends with its connection.
   const framing = query.has('unframed') ? { Connection: 'close' } : {};
   response.once('close', () => say({ did: response.writableFinished ? 'ended' : 'broke off', attemptId }));
@@ -35,7 +44,7 @@
     const first = 1 + Number(request.headers['last-event-id'] ?? 0);
     for (let event = first; event <= events && !response.destroyed; event += 1) {
       response.write(`id: ${event}\ndata: ${attemptId} ${event}/${events}\n\n`);
-      await sleep(gapMs);
+      await sleep(event === pauseAfter ? pauseMs : gapMs);
     }
     response.end();
     return;
