--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -5,6 +5,11 @@
 const say = (record) => process.stdout.write(`${JSON.stringify({ id, ...record })}\n`);
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 let runs = 0;
+/** Set by SIGUSR2 when the engine reports that it is draining. */
+let isLeaving = false;
+process.on('SIGUSR2', () => {
+  isLeaving = true;
+});
 
 const server = createServer(async (request, response) => {
   if (request.url === '/healthz') {
@@ -28,7 +33,11 @@
   }
   runs += 1;
   say({ did: 'runs', attemptId, path: request.url, lastEventId: request.headers['last-event-id'] });
-  const head = { 'X-Attempt-Id': attemptId, 'X-Response-Signature': `${id}.${runs}` };
+  const head = {
+    'X-Attempt-Id': attemptId,
+    'X-Response-Signature': `${id}.${runs}`,
+    ...(isLeaving && { 'Server-Leaving': '1' }),
+  };
   const query = new URL(request.url, 'http://engine').searchParams;
   const events = Number(query.get('events') ?? 0);
   const gapMs = Number(query.get('gap') ?? 100);
@@ -58,4 +67,12 @@
   response.end();
 });
 server.keepAliveTimeout = 30_000;
+// The end of a planned shutdown: no new connections, the answers in progress are finished, then the process exits.
+process.on('SIGTERM', () => {
+  say({ did: 'stops listening' });
+  server.close(() => {
+    say({ did: 'exits' });
+    process.exit(0);
+  });
+});
 server.listen(port, host, () => say({ did: 'listens', at: `${host}:${port}` }));
