--- a/packages/gateway/src/__tests__/fleet/simulatedEngines.ts
+++ b/packages/gateway/src/__tests__/fleet/simulatedEngines.ts
@@ -229,7 +229,13 @@
       signed: true,
       forwardHeaders: [],
     };
-    call.report({ kind: RequestEventKind.UpstreamHead, attempt, head, bodyBytes: undefined });
+    call.report({
+      kind: RequestEventKind.UpstreamHead,
+      attempt,
+      head,
+      bodyBytes: undefined,
+      endsWithConnection: false,
+    });
     this.sendEvent(engine, call, Number(call.request.lastEventId ?? 0) + 1);
   }
 
@@ -248,7 +254,7 @@
       signed: false,
       forwardHeaders: [],
     };
-    report({ kind: RequestEventKind.UpstreamHead, attempt, head, bodyBytes: 0 });
+    report({ kind: RequestEventKind.UpstreamHead, attempt, head, bodyBytes: 0, endsWithConnection: false });
   }
 
   private recordToldLeaving(routerId: string, { entry }: Engine): void {
--- a/packages/gateway/src/__tests__/fleet/simulatedFleet.ts
+++ b/packages/gateway/src/__tests__/fleet/simulatedFleet.ts
@@ -7,6 +7,7 @@
 import { createOptions } from '../../options.ts';
 import { UpstreamView } from '../../placement/upstreamView.ts';
 import type { CallerExchange, LocalReply, RequestEvent } from '../../requests/ports.ts';
+import { WatchState } from '../../requests/ports.ts';
 import { ageReport } from '../../quarantine/ageReport.ts';
 import {
   exchangeSuspects,
@@ -353,6 +354,7 @@
         open: (upstream, request, attempt, report) =>
           this.engines.open(upstream, request, attempt, report, context.self.routerId),
         hasEnded: (upstream) => Promise.resolve(!this.engines.isListening(upstream.upstreamId)),
+        watch: () => ({ state: WatchState.Unavailable, close: () => undefined }),
         removeUpstream: () => undefined,
       },
       log: () => undefined,
--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -3,9 +3,16 @@
 import { Writable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import { buildConnector, Client, errors, Pool } from 'undici';
-import type { RequestEvent, UpstreamCall, UpstreamPort, UpstreamRequest } from '../requests/ports.ts';
+import type {
+  RequestEvent,
+  UpstreamCall,
+  UpstreamPort,
+  UpstreamRequest,
+  UpstreamWatch,
+} from '../requests/ports.ts';
 import { RequestEventKind, UpstreamFailure } from '../requests/ports.ts';
 import type { UpstreamEntry } from '../types.ts';
+import { WatchConnections } from './watchConnections.ts';
 import type { WireCodec } from './wireCodec.ts';
 
 export interface UpstreamConnectionOptions {
@@ -38,16 +45,28 @@
 /** Time within which a discarded body must end; until then its connection serves no other request. */
 const DISCARD_TIMEOUT_MS = 1_000;
 
+/** Time for which a response must last for its upstream to be watched. */
+const WATCH_DELAY_MS = 50;
+
 /** Persistent connections to upstreams, with one pool per upstream. */
 export class UpstreamConnections implements UpstreamPort {
   private readonly pools = new Map<string, Pool>();
   /** Checks in progress by address, shared by the attempts that broke off together. */
   private readonly endChecks = new Map<string, Promise<boolean>>();
+  private readonly watches: WatchConnections;
 
   constructor(
     private readonly codec: WireCodec,
     private readonly options: UpstreamConnectionOptions,
-  ) {}
+  ) {
+    const { connectTimeoutMs, idleTimeoutMs, idleMarginMs } = options;
+    this.watches = new WatchConnections({
+      connectTimeoutMs,
+      // The next one is open well before the upstream closes this one as idle.
+      renewalIntervalMs: (idleTimeoutMs - idleMarginMs) / 2,
+      openDelayMs: WATCH_DELAY_MS,
+    });
+  }
 
   open(
     upstream: UpstreamEntry,
@@ -85,6 +104,10 @@
     return check;
   }
 
+  watch(upstream: UpstreamEntry): UpstreamWatch {
+    return this.watches.watch(upstream);
+  }
+
   removeUpstream(upstreamId: string): void {
     const pool = this.pools.get(upstreamId);
     this.pools.delete(upstreamId);
@@ -292,7 +315,13 @@
     this.isCloseDelimited = hasBody && framing.isCloseDelimited;
     const head = this.codec.decodeUpstreamHead(this.request, status, headers);
     const { bodyBytes } = framing;
-    this.report({ kind: RequestEventKind.UpstreamHead, attempt: this.attempt, head, bodyBytes });
+    this.report({
+      kind: RequestEventKind.UpstreamHead,
+      attempt: this.attempt,
+      head,
+      bodyBytes,
+      endsWithConnection: this.isCloseDelimited,
+    });
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, data: Buffer): void {
--- a/packages/gateway/src/money/__tests__/loadedFleet.ts
+++ b/packages/gateway/src/money/__tests__/loadedFleet.ts
@@ -352,6 +352,7 @@
       upstreamPort: {
         open: () => rejectCall(),
         hasEnded: () => rejectCall(),
+        watch: () => rejectCall(),
         removeUpstream: () => undefined,
       },
       log: () => undefined,
--- a/packages/gateway/src/money/__tests__/simulatedRouter.ts
+++ b/packages/gateway/src/money/__tests__/simulatedRouter.ts
@@ -64,6 +64,7 @@
       upstreamPort: {
         open: () => fleet.rejectUpstreamCall(),
         hasEnded: () => fleet.rejectUpstreamCall(),
+        watch: () => fleet.rejectUpstreamCall(),
         removeUpstream: () => undefined,
       },
       log: () => undefined,
--- a/packages/gateway/src/placement/recordLeaving.ts
+++ b/packages/gateway/src/placement/recordLeaving.ts
@@ -35,5 +35,5 @@
     source,
     inFlight: view.inFlight,
   });
-  view.withdrawUnsentAttempts();
+  view.reportLeaving();
 }
--- a/packages/gateway/src/placement/upstreamView.ts
+++ b/packages/gateway/src/placement/upstreamView.ts
@@ -47,6 +47,8 @@
   entryVersion = -Infinity;
   /** Called when the upstream takes no more requests, for each attempt that waits for a connection to it. */
   readonly unsentAttempts = new Set<() => void>();
+  /** Called when the upstream leaves, for each attempt whose response may end with it. */
+  readonly sentAttempts = new Set<() => void>();
   /** Span of monotonic time in which it gets no requests, unless a response confirms that it stays. */
   private doubt: { readonly fromMs: number; readonly untilMs: number } | undefined;
   private resumeReported = true;
@@ -165,6 +167,14 @@
     }
   }
 
+  /** Tells its attempts that the upstream is leaving or no longer registered. */
+  reportLeaving(): void {
+    this.withdrawUnsentAttempts();
+    for (const watchUpstream of this.sentAttempts) {
+      watchUpstream();
+    }
+  }
+
   /** Excludes the upstream for a time. Called directly where a single event is conclusive. */
   eject(nowMs: number, durationMs: number): void {
     this.ejectedUntilMs = Math.max(this.ejectedUntilMs, nowMs + durationMs);
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -16,8 +16,9 @@
   RequestHead,
   UpstreamResponseHead,
   UpstreamRequest,
+  UpstreamWatch,
 } from '../ports.ts';
-import { RequestEventKind, RetryAfterKind, UpstreamFailure } from '../ports.ts';
+import { RequestEventKind, RetryAfterKind, UpstreamFailure, WatchState } from '../ports.ts';
 import { serveRequest } from '../serveRequest.ts';
 
 export const ROUTE: Route = {
@@ -54,7 +55,8 @@
   readonly request: UpstreamRequest;
   cancelled: boolean;
   sent(): void;
-  head(head?: Partial<UpstreamResponseHead>, bodyBytes?: number): void;
+  /** @param endsWithConnection true for a response without a length or chunks */
+  head(head?: Partial<UpstreamResponseHead>, bodyBytes?: number, endsWithConnection?: boolean): void;
   data(text: string): void;
   /** @param endsWithConnection true for a response without a length or chunks */
   end(endsWithConnection?: boolean): void;
@@ -92,6 +94,10 @@
   readonly calls: FakeUpstreamCall[] = [];
   /** Ids of the upstreams at whose address nothing listens. */
   readonly ended = new Set<string>();
+  /** What a watch of an upstream shows; by default its connection was not opened. */
+  readonly watchStates = new Map<string, WatchState>();
+  /** Ids of the upstreams that are watched, once for each watch. */
+  readonly watched: string[] = [];
   /** Messages of the log. */
   readonly logged: string[] = [];
   readonly context: GatewayContext;
@@ -154,6 +160,7 @@
         open: (upstream, request, attempt, report) =>
           this.open(upstream.upstreamId, request, attempt, report),
         hasEnded: (upstream) => Promise.resolve(this.ended.has(upstream.upstreamId)),
+        watch: (upstream) => this.watch(upstream.upstreamId),
         removeUpstream: () => undefined,
       },
       log: (_level, message) => this.logged.push(message),
@@ -244,6 +251,19 @@
     return caller;
   }
 
+  private watch(upstreamId: string): UpstreamWatch {
+    const { watched, watchStates } = this;
+    watched.push(upstreamId);
+    return {
+      get state() {
+        return watchStates.get(upstreamId) ?? WatchState.Unavailable;
+      },
+      close: () => {
+        watched.splice(watched.indexOf(upstreamId), 1);
+      },
+    };
+  }
+
   private open(
     upstreamId: string,
     request: UpstreamRequest,
@@ -257,12 +277,13 @@
       sent: () => {
         report({ kind: RequestEventKind.UpstreamSent, attempt });
       },
-      head: (head = {}, bodyBytes) => {
+      head: (head = {}, bodyBytes, endsWithConnection = false) => {
         report({
           kind: RequestEventKind.UpstreamHead,
           attempt,
           head: { ...RESPONSE_HEAD, ...head },
           bodyBytes,
+          endsWithConnection,
         });
       },
       data: (text) => {
--- a/packages/gateway/src/requests/__tests__/upstreamEnd.test.ts
+++ b/packages/gateway/src/requests/__tests__/upstreamEnd.test.ts
@@ -3,7 +3,8 @@
 import type { Task } from '@pimentostall/core';
 import { sleepUntil } from '@pimentostall/core';
 import { UpstreamView } from '../../placement/upstreamView.ts';
-import { RouteKind } from '../../types.ts';
+import { RouteKind, UpstreamState } from '../../types.ts';
+import { WatchState } from '../ports.ts';
 import type { FakeCaller } from './requestRig.ts';
 import { RequestRig } from './requestRig.ts';
 
@@ -18,13 +19,16 @@
   }
 }
 
+/** Longer than it takes to rule out that the close of a watch was lost. */
+const WATCH_LIMIT_MS = 600;
+
 /** Starts a stream without a length, whose first event has been passed on. */
 function startStream(): { rig: RequestRig; caller: FakeCaller } {
   const rig = new RequestRig({ kind: RouteKind.Streaming, timeoutMs: 20_000 });
   rig.context.loop.spawn('periodic', workPeriodically(rig));
   const caller = rig.send({ deadlineMs: 20_000 });
   rig.call.sent();
-  rig.call.head();
+  rig.call.head({}, undefined, true);
   rig.call.data('id: 1\ndata: a\n\n');
   return { rig, caller };
 }
@@ -99,3 +103,97 @@
   await settle();
   assert.equal(caller.ended, true);
 });
+
+/** Starts such a stream of an engine that no longer listens; its watch is open. */
+function startWatchedStream(): { rig: RequestRig; caller: FakeCaller } {
+  const { rig, caller } = startStream();
+  rig.ended.add(rig.call.upstreamId);
+  rig.watchStates.set(rig.call.upstreamId, WatchState.Open);
+  return { rig, caller };
+}
+
+test('a stream of an engine that no longer listens is whole if its process outlives it (it was cut off)', async () => {
+  const { rig, caller } = startWatchedStream();
+  rig.call.end(true);
+  await settle();
+  rig.advance(100);
+  assert.equal(caller.ended, false, 'passed on before a lost packet was ruled out');
+  rig.advance(WATCH_LIMIT_MS);
+  assert.equal(caller.ended, true);
+  assert.deepEqual(rig.watched, []);
+});
+
+test('a stream of an engine that no longer listens is not whole if its process ends with it', async () => {
+  const { rig, caller } = startWatchedStream();
+  rig.call.end(true);
+  await settle();
+  rig.advance(200);
+  rig.watchStates.set(rig.call.upstreamId, WatchState.JustClosed);
+  rig.advance(WATCH_LIMIT_MS);
+  assert.equal(caller.ended, false);
+  assert.equal(caller.aborted, true);
+});
+
+test('a stream that is closed together with the watch is not whole, although something listens at the address', async () => {
+  const { rig, caller } = startStream();
+  rig.watchStates.set(rig.call.upstreamId, WatchState.JustClosed);
+  rig.call.end(true);
+  await settle();
+  assert.equal(caller.ended, false);
+  assert.equal(caller.aborted, true);
+});
+
+test('a stream is not whole if the deadline comes before it is known whether its process outlives it', async () => {
+  const { rig, caller } = startWatchedStream();
+  rig.advance(19_800);
+  rig.call.end(true);
+  await settle();
+  rig.advance(WATCH_LIMIT_MS);
+  assert.equal(caller.ended, false);
+});
+
+test('a stream is not whole if a later engine has its address, also under another id', async () => {
+  const { rig, caller } = startStream();
+  const { context } = rig;
+  rig.watchStates.set(rig.call.upstreamId, WatchState.Open);
+  const view = context.board.upstreams.get(rig.call.upstreamId);
+  assert.ok(view);
+  const entry = { ...view.entry, upstreamId: 'later', startTimeMs: 2 };
+  context.board.upstreams.set('later', new UpstreamView(entry, context.options.placement));
+  rig.call.end(true);
+  await settle();
+  rig.advance(WATCH_LIMIT_MS);
+  assert.equal(caller.ended, false);
+});
+
+test('an engine that leaves is watched from then on, before its response begins', async () => {
+  const rig = new RequestRig({ kind: RouteKind.Unsafe, timeoutMs: 20_000 });
+  const caller = rig.send({ deadlineMs: 20_000 });
+  rig.call.sent();
+  assert.deepEqual(rig.watched, []);
+  const view = rig.context.board.upstreams.get(rig.call.upstreamId);
+  assert.ok(view);
+  view.entry = { ...view.entry, state: UpstreamState.Draining };
+  view.reportLeaving();
+  assert.deepEqual(rig.watched, [rig.call.upstreamId]);
+  rig.ended.add(rig.call.upstreamId);
+  rig.watchStates.set(rig.call.upstreamId, WatchState.Open);
+  rig.call.head({}, undefined, true);
+  rig.call.data('paid');
+  rig.call.end(true);
+  await settle();
+  rig.advance(WATCH_LIMIT_MS);
+  assert.equal(caller.ended, true);
+  assert.equal(caller.body, 'paid');
+});
+
+test('an engine is not watched for a response whose length is known', () => {
+  const rig = new RequestRig({ kind: RouteKind.Unsafe });
+  rig.send();
+  rig.call.sent();
+  rig.context.board.upstreams.get(rig.call.upstreamId)?.reportLeaving();
+  rig.call.head({}, 4);
+  assert.deepEqual(rig.watched, []);
+  rig.context.board.upstreams.get(rig.call.upstreamId)?.reportLeaving();
+  assert.deepEqual(rig.watched, []);
+});
--- a/packages/gateway/src/requests/attemptProgress.ts
+++ b/packages/gateway/src/requests/attemptProgress.ts
@@ -4,7 +4,7 @@
 import type { ByteCollector } from './byteCollector.ts';
 import type { EventSplitter } from './eventSplitter.ts';
 import type { HeldResponse } from './heldResponse.ts';
-import type { UpstreamCall, UpstreamFailure, UpstreamResponseHead } from './ports.ts';
+import type { UpstreamCall, UpstreamFailure, UpstreamResponseHead, UpstreamWatch } from './ports.ts';
 
 export enum AttemptEnd {
   /** The complete response was passed on to the caller. */
@@ -72,6 +72,9 @@
   startRecorded: boolean;
   /** Sends the request elsewhere if it still waits for a connection. */
   readonly withdrawUnsent: () => void;
+  /** Starts `watch` if only the connection may show the end of the response. */
+  readonly watchUpstream: () => void;
+  watch: UpstreamWatch | undefined;
   /** Set if the upstream was cold when the attempt began. */
   readonly coldAttempt: ColdAttempt | undefined;
 }
--- a/packages/gateway/src/requests/ports.ts
+++ b/packages/gateway/src/requests/ports.ts
@@ -103,12 +103,13 @@
       readonly head: UpstreamResponseHead;
       /** Length of the body that the head announces; undefined if its end is only known once it is received. */
       readonly bodyBytes: number | undefined;
+      /** True for a response that has neither a length nor chunks, so that only its connection shows the end. */
+      readonly endsWithConnection: boolean;
     }
   | { readonly kind: RequestEventKind.UpstreamData; readonly attempt: number; readonly data: Buffer }
   | {
       readonly kind: RequestEventKind.UpstreamEnd;
       readonly attempt: number;
-      /** True for a response that has neither a length nor chunks, so that only its connection shows the end. */
       readonly endsWithConnection: boolean;
     }
   | {
@@ -132,6 +133,22 @@
   resume(): void;
 }
 
+/** What a connection without a request shows about the process of an upstream. */
+export enum WatchState {
+  /** It is not open: not yet, refused, or closed some time ago. */
+  Unavailable = 'unavailable',
+  /** The process that accepted it is running. */
+  Open = 'open',
+  /** The upstream has just closed it. */
+  JustClosed = 'just-closed',
+}
+
+/** Watches the process of an upstream while it responds. */
+export interface UpstreamWatch {
+  readonly state: WatchState;
+  close(): void;
+}
+
 export interface UpstreamPort {
   open(
     upstream: UpstreamEntry,
@@ -144,6 +161,8 @@
    * upstream that does not respond in time counts as running, since a partition looks the same.
    */
   hasEnded(upstream: UpstreamEntry): Promise<boolean>;
+  /** Keeps a connection without a request open to an upstream, until it is closed. */
+  watch(upstream: UpstreamEntry): UpstreamWatch;
   /** Closes the connections to an upstream that was removed, after its open requests have ended. */
   removeUpstream(upstreamId: string): void;
 }
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -11,6 +11,7 @@
 import { RouteKind } from '../types.ts';
 import type { AttemptOutcome, AttemptProgress, AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd, endPrefill, recordProgress } from './attemptProgress.ts';
+import { adjustWatch, confirmEnd, endWatch, prepareWatch } from './attemptWatch.ts';
 import { checkTimeouts, MAX_HELD_RESPONSE_BYTES, nextTimeoutAtMs } from './attemptTimeouts.ts';
 import { ByteCollector } from './byteCollector.ts';
 import { enginePriority } from './enginePriority.ts';
@@ -22,7 +23,6 @@
 import { isRetryable } from './servedRequest.ts';
 import { recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
 import { recordIfUnresponsive } from './unresponsiveUpstream.ts';
-import { mayHaveEndedWithUpstream } from './upstreamEnd.ts';
 
 /** Status of a response on a streaming route whose body is an event stream. */
 const EVENT_STREAM_STATUS = 200;
@@ -56,9 +56,13 @@
       const result =
         event === undefined
           ? checkTimeouts(context, request, progress, mayRetry)
-          : (yield* brokeOffWithUpstream(context, request, progress, event))
-            ? handleFailure(context, progress, UpstreamFailure.ConnectionClosed, 'upstream ended')
-            : handleEvent(context, request, progress, event, mayRetry);
+          : handleEvent(
+              context,
+              request,
+              progress,
+              yield* confirmEnd(context, request, progress, event),
+              mayRetry,
+            );
       if (progress.firstEventAtMs !== undefined) {
         unanswered.remove();
       }
@@ -72,6 +76,7 @@
     unanswered.remove();
     progress.heldMemory.release();
     view.unsentAttempts.delete(progress.withdrawUnsent);
+    endWatch(progress);
     progress.coldAttempt?.end();
     view.inFlight -= 1;
     const endedTokens = endPrefill(progress);
@@ -92,24 +97,6 @@
   }
 }
 
-function* brokeOffWithUpstream(
-  context: GatewayContext,
-  { deadlineAtMs }: ServedRequest,
-  { number, placement, sentAtMs }: AttemptProgress,
-  event: RequestEvent,
-): Task<boolean> {
-  return (
-    event.kind === RequestEventKind.UpstreamEnd &&
-    event.attempt === number &&
-    event.endsWithConnection &&
-    (yield* mayHaveEndedWithUpstream(context, {
-      upstream: placement.upstream.entry,
-      sentAtMs: sentAtMs ?? -Infinity,
-      deadlineAtMs,
-    }))
-  );
-}
-
 function openAttempt(context: GatewayContext, request: ServedRequest, placement: Placement): AttemptProgress {
   const nowMs = context.loop.nowMs();
   const { exchange, attempts, triedUpstreams } = request;
@@ -129,6 +116,9 @@
     context.loop.push(exchange.events, { kind: RequestEventKind.UpstreamUnavailable, attempt: number });
   };
   upstream.unsentAttempts.add(withdrawUnsent);
+  const watchUpstream = (): void => {
+    progress.watch ??= context.upstreamPort.watch(upstream.entry);
+  };
   const coldAttempt = beginColdAttempt(context, upstream);
   const call = context.upstreamPort.open(
     upstream.entry,
@@ -145,7 +135,7 @@
       context.loop.push(exchange.events, event);
     },
   );
-  return {
+  const progress: AttemptProgress = {
     number,
     record,
     placement,
@@ -164,8 +154,11 @@
     firstEventAtMs: undefined,
     startRecorded: false,
     withdrawUnsent,
+    watchUpstream,
+    watch: undefined,
     coldAttempt,
   };
+  return progress;
 }
 
 function handleEvent(
@@ -205,6 +198,7 @@
       progress.sentAtMs = nowMs;
       progress.coldAttempt?.recordSent();
       progress.placement.upstream.unsentAttempts.delete(progress.withdrawUnsent);
+      prepareWatch(progress);
       request.sentCount += 1;
       return undefined;
     case RequestEventKind.UpstreamUnavailable:
@@ -218,6 +212,7 @@
       progress.head = event.head;
       progress.coldAttempt?.end();
       progress.bodyBytes = event.bodyBytes;
+      adjustWatch(progress, event.endsWithConnection);
       return handleResponseHead(context, request, progress, event.head, mayRetry);
     case RequestEventKind.UpstreamData:
       return relayData(context, request, progress, event.data);
--- a/packages/gateway/src/requests/upstreamEnd.ts
+++ b/packages/gateway/src/requests/upstreamEnd.ts
@@ -2,41 +2,116 @@
 import { sleepUntil } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
 import type { UpstreamEntry } from '../types.ts';
+import type { UpstreamWatch } from './ports.ts';
+import { WatchState } from './ports.ts';
 
 /** Longest wait for the register after a stall: a read of it that finds no change, and the pause before it. */
 const REGISTER_WAIT_MS = 2_000;
-const REGISTER_CHECK_INTERVAL_MS = 20;
+const CHECK_INTERVAL_MS = 20;
+
+/** Time within which the connections of a process that ends are closed together. */
+const CLOSE_TOGETHER_MS = 50;
+/** The same if the network loses a packet, which is sent again 200 ms later and then after 400 ms. */
+const CLOSE_TOGETHER_LOSSY_MS = 500;
+
+/** Why a response that only its connection delimits may not be complete. */
+export enum EndDoubt {
+  /** Another connection to the upstream was closed together with it. */
+  ClosedTogether = 'closed together with another connection',
+  /** Nothing listens at the address, and no other connection shows that the process still runs. */
+  NotListening = 'upstream stopped listening',
+  /** The deadline came before it was known whether another connection stays open. */
+  Deadline = 'deadline before the check has ended',
+  /** The register could not be read after a stall in which the upstream may have restarted. */
+  RegisterOutdated = 'register not read since a stall',
+  /** The register names a later incarnation. */
+  Restarted = 'upstream restarted',
+}
 
 /** A response that only the end of its connection delimits. */
 export interface CloseDelimitedResponse {
   readonly upstream: UpstreamEntry;
+  /** A watch of the upstream since before the end of the response; undefined without one. */
+  readonly watch: UpstreamWatch | undefined;
   /** Monotonic time at which its request was sent. */
   readonly sentAtMs: number;
   readonly deadlineAtMs: number;
 }
 
 /**
- * Whether such a response may have ended because its upstream did: a process that ends closes its connections in an
- * orderly way, also one that is leaving or no longer registered. Another incarnation may listen at the address by now.
+ * Tells whether such a response may have ended because its upstream did: a process that ends closes its connections in
+ * an orderly way, also one that is leaving or no longer registered. Another incarnation may listen at the address by
+ * now, and an upstream that leaves stops listening before its last responses are complete.
+ *
+ * @returns undefined if the response is complete
  */
-export function* mayHaveEndedWithUpstream(
+export function* findEndDoubt(
   context: GatewayContext,
   response: CloseDelimitedResponse,
-): Task<boolean> {
+): Task<EndDoubt | undefined> {
+  const processDoubt = yield* findProcessDoubt(context, response);
+  if (processDoubt !== undefined) {
+    return processDoubt;
+  }
+  if (yield* isRegisterOutdated(context, response)) {
+    return EndDoubt.RegisterOutdated;
+  }
+  return hasRestarted(context, response) ? EndDoubt.Restarted : undefined;
+}
+
+function* findProcessDoubt(
+  context: GatewayContext,
+  response: CloseDelimitedResponse,
+): Task<EndDoubt | undefined> {
   const { loop, upstreamPort } = context;
-  return (
-    (yield* loop.settled(upstreamPort.hasEnded(response.upstream))) ||
-    (yield* isRegisterOutdated(context, response)) ||
-    hasRestarted(context, response.upstream)
-  );
+  const { upstream, watch } = response;
+  switch (watch?.state) {
+    case WatchState.JustClosed:
+      return EndDoubt.ClosedTogether;
+    case WatchState.Open:
+      return yield* findWatchDoubt(context, response, watch);
+    case WatchState.Unavailable:
+    case undefined:
+      return (yield* loop.settled(upstreamPort.hasEnded(upstream))) ? EndDoubt.NotListening : undefined;
+  }
 }
 
-function hasRestarted(
-  { board }: GatewayContext,
-  { upstreamId, address, startTimeMs }: UpstreamEntry,
-): boolean {
+/**
+ * Checks that the connection of the watch, which was open before the response ended, stays open. If nothing listens at
+ * the address, it takes longer to rule out that the news of its close was lost.
+ */
+function* findWatchDoubt(
+  { loop, upstreamPort }: GatewayContext,
+  { upstream, deadlineAtMs }: CloseDelimitedResponse,
+  watch: UpstreamWatch,
+): Task<EndDoubt | undefined> {
+  const endedAtMs = loop.nowMs();
+  const hasStoppedListening = yield* loop.settled(upstreamPort.hasEnded(upstream));
+  const provenAtMs = endedAtMs + (hasStoppedListening ? CLOSE_TOGETHER_LOSSY_MS : CLOSE_TOGETHER_MS);
+  const untilMs = Math.min(provenAtMs, deadlineAtMs);
+  while (watch.state === WatchState.Open && loop.nowMs() < untilMs) {
+    yield* sleepUntil(Math.min(untilMs, loop.nowMs() + CHECK_INTERVAL_MS));
+  }
+  if (watch.state !== WatchState.Open) {
+    return EndDoubt.ClosedTogether;
+  }
+  return loop.nowMs() < provenAtMs ? EndDoubt.Deadline : undefined;
+}
+
+/**
+ * Whether the register names a later incarnation: at the address, to which a watch may lead, or under the id at another
+ * address, which matters only if no connection shows that the process still runs.
+ */
+function hasRestarted({ board }: GatewayContext, { upstream, watch }: CloseDelimitedResponse): boolean {
+  const { upstreamId, address, startTimeMs = -Infinity } = upstream;
   const current = board.upstreams.get(upstreamId)?.entry;
-  return current !== undefined && (current.address !== address || current.startTimeMs !== startTimeMs);
+  const hasMoved = current !== undefined && current.address !== address;
+  if (hasMoved && watch?.state !== WatchState.Open) {
+    return true;
+  }
+  return [...board.upstreams.values()].some(
+    ({ entry }) => entry.address === address && (entry.startTimeMs ?? -Infinity) > startTimeMs,
+  );
 }
 
 /**
@@ -51,7 +126,7 @@
   const isOutdated = (): boolean => sentAtMs < stalledUntilMs && board.registerReadAtMs < stalledUntilMs;
   const untilMs = Math.min(deadlineAtMs, loop.nowMs() + REGISTER_WAIT_MS);
   while (isOutdated() && loop.nowMs() < untilMs) {
-    yield* sleepUntil(Math.min(untilMs, loop.nowMs() + REGISTER_CHECK_INTERVAL_MS));
+    yield* sleepUntil(Math.min(untilMs, loop.nowMs() + CHECK_INTERVAL_MS));
   }
   return isOutdated();
 }
