Report responses with an invalid status as failed

Callers got a signed response with status 600 or 999 as an answer (trial with the deployed bundle: "600 complete" with the engine's signature).

- Status 000 and 099 end in 502, since undici's parser asserts a status of at least 100 (trial with the bundle: 502, with and without a length).

Cause of what is left: any status from 200 on was taken for a final response. Change: a status outside of 100 to 599 fails the attempt, by a check of our own instead of an assertion of the library.

Two tests, for 600 and 999, fail before. Six more guard what already held: 000, 099, a reset 0, 5 and 50 ms into a long upload, a close with unread bytes.

--- a/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
+++ b/packages/gateway/src/http/__tests__/upstreamConnections.test.ts
@@ -88,11 +88,11 @@
 }
 
 /** Sends one request and returns all its events. */
-async function exchange(upstream: UpstreamEntry): Promise<RequestEvent[]> {
+async function exchange(upstream: UpstreamEntry, body = request.body): Promise<RequestEvent[]> {
   const connections = createConnections();
   const events: RequestEvent[] = [];
   await new Promise<void>((resolve) => {
-    connections.open(upstream, request, 1, (event) => {
+    connections.open(upstream, { ...request, body }, 1, (event) => {
       events.push(event);
       if (event.kind === RequestEventKind.UpstreamEnd || event.kind === RequestEventKind.UpstreamFailed) {
         resolve();
@@ -181,3 +181,45 @@
   // No body: asking whether the upstream still listens would cost a connection for nothing.
   assert.equal(await endsWithConnection('HTTP/1.1 204 No Content\r\n\r\n'), false);
 });
+
+/** More than the socket buffers hold, so that the upload is still being written when the response arrives. */
+const LONG_UPLOAD_BYTES = 4_000_000;
+
+for (const delayMs of [0, 5, 50]) {
+  test(`part of a response that is reset after ${delayMs} ms during a long upload is not a complete response`, async () => {
+    const upstream = await startUpstream((socket) => {
+      socket.pause();
+      socket.write(`${CLOSE_DELIMITED_HEAD}half of the ans`);
+      setTimeout(() => socket.resetAndDestroy(), delayMs);
+    });
+    const events = await exchange(upstream, Buffer.alloc(LONG_UPLOAD_BYTES));
+    assert.equal(events.at(-1)?.kind, RequestEventKind.UpstreamFailed);
+  });
+}
+
+test('a response that is closed with a part of the upload unread is not complete', async () => {
+  const upstream = await startUpstream((socket) => {
+    socket.pause();
+    socket.write(`${CLOSE_DELIMITED_HEAD}half of the ans`, () => socket.destroy());
+  });
+  const events = await exchange(upstream, Buffer.alloc(LONG_UPLOAD_BYTES));
+  assert.equal(events.at(-1)?.kind, RequestEventKind.UpstreamFailed);
+});
+
+for (const status of ['000', '099', '600', '999']) {
+  test(`a response with the invalid status ${status} is reported as failed, not as a response`, async () => {
+    for (const framing of [
+      'Content-Length: 6\r\n',
+      'Connection: close\r\n',
+      'Transfer-Encoding: chunked\r\n',
+    ]) {
+      const upstream = await startUpstream((socket) => {
+        socket.end(`HTTP/1.1 ${status} Trouble\r\n${framing}\r\n6\r\nanswer\r\n0\r\n\r\n`);
+      });
+      assert.deepEqual(
+        (await exchange(upstream)).map(({ kind }) => kind),
+        [RequestEventKind.UpstreamSent, RequestEventKind.UpstreamFailed],
+      );
+    }
+  });
+}
--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -39,6 +39,13 @@
 /** Bytes of a discarded body that are read so that its connection can be reused; more costs more than a connection. */
 const MAX_DISCARDED_BYTES = 65_536;
 
+/** Lower statuses are those of interim responses. */
+const FIRST_FINAL_STATUS = 200;
+
+/** Range of valid statuses (RFC 9110, section 15). */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+
 /** Statuses of responses that end with their head. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -303,7 +310,15 @@
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-    if (this.ignoresEvents || status < 200) {
+    if (this.ignoresEvents) {
+      return;
+    }
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      this.fail(UpstreamFailure.Other, `invalid status ${status}`);
+      this.cancel();
+      return;
+    }
+    if (status < FIRST_FINAL_STATUS) {
       return;
     }
     const { rawHeaders } = controller as { rawHeaders?: readonly (Buffer | string)[] | null };
