--- a/packages/gateway/src/requests/attemptTimeouts.ts
+++ b/packages/gateway/src/requests/attemptTimeouts.ts
@@ -1,10 +1,10 @@
 import type { GatewayContext } from '../context.ts';
-import { tryReserveRetry } from '../retries/reserveRetry.ts';
 import type { AttemptProgress, AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd, incompleteBytes } from './attemptProgress.ts';
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
 import { silenceLimitAtMs } from './silenceLimit.ts';
+import { tryReserveSwitch } from './wayBack.ts';
 
 /** Plain responses up to this size are buffered until complete, so that a broken one can be retried. */
 export const MAX_HELD_RESPONSE_BYTES = 65_536;
@@ -59,13 +59,15 @@
     return { end: AttemptEnd.DeadlineExceeded, detail: 'deadline exceeded before the response was complete' };
   }
   if (mayRetry && isRetryable(request) && nowMs >= inactivityTimeoutAtMs(context, request, progress)) {
-    if (!tryReserveRetry(context, request)) {
+    if (!tryReserveSwitch(context, request, progress.placement.upstream)) {
       // The upstream may only be slow, and nothing is gained by giving it up without another attempt.
       progress.retryNotBeforeMs = nowMs + context.options.silentUpstreamMs;
       return undefined;
     }
     progress.call.cancel();
-    progress.placement.upstream.recordFailure(nowMs);
+    if (request.wayBack === undefined) {
+      progress.placement.upstream.recordFailure(nowMs);
+    }
     return { end: AttemptEnd.Broken, detail: 'upstream inactive for too long', retryReserved: true };
   }
   return undefined;
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -22,6 +22,7 @@
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
 import { recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
+import { recordSwitch } from './wayBack.ts';
 import { recordIfUnresponsive } from './unresponsiveUpstream.ts';
 
 /** Status of a response on a streaming route whose body is an event stream. */
@@ -279,6 +280,9 @@
     progress.call.discard();
     return { end: AttemptEnd.ErrorResponse, detail: `upstream responded with status ${head.status}` };
   }
+  if (!isServerError) {
+    recordSwitch(context, request);
+  }
   return (progress.bodyBytes ?? 0) > MAX_BODY_BYTES
     ? rejectResponse(context, progress, `upstream announced a body of more than ${MAX_BODY_BYTES} bytes`)
     : undefined;
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -26,6 +26,7 @@
 import { isRetryable, requestVerdict } from './servedRequest.ts';
 import type { WithheldRequest } from './suspectRequests.ts';
 import { checkQuarantine, endProbe, mayRiskEngine, recordEndedEngine } from './suspectRequests.ts';
+import { endWayBack, isOffWayBack, takeWayBack, takeWayBackAfter } from './wayBack.ts';
 import { countDistance, recordZoneResponse, zoneReachOf } from './zoneReach.ts';
 
 /** Maximum number of failed connection attempts per request; they do not count as sent. */
@@ -106,6 +107,7 @@
       lastEventId: head.lastEventId,
       firstDataMs: undefined,
       endedEngine: false,
+      wayBack: undefined,
       probe: undefined,
     },
   };
@@ -223,17 +225,21 @@
     const placement = choosePlacement(context, request, cold);
     cold.recordPlacement(placement !== undefined);
     if (placement === undefined) {
+      if (takeWayBack(request)) {
+        continue;
+      }
       finishUnplaced(context, request, cold);
       return;
     }
     countDistance(context, request, placement);
     const mayRetry = request.sentCount + 1 < request.route.maxAttempts;
     const result = yield* runAttempt(context, request, placement, mayRetry);
+    endWayBack(request);
     logAttempt(context, request, placement, result);
     recordZoneResponse(context, request, placement, result);
     yield* recordEndedEngine(context, request, placement, result);
     const step = nextStep(context, request, result);
-    if (step !== 'retry') {
+    if (step !== 'retry' && !takeWayBackAfter(request, result)) {
       finish(context, request.exchange, request, step, result.detail);
       return;
     }
@@ -254,7 +260,7 @@
       excluded: request.triedUpstreams,
       spreadKey: request.endedEngine ? request.requestId : undefined,
       tieKey: request.service.engine !== undefined && isSharingLoads(context) ? request.requestId : undefined,
-      isWithheld: (upstream) => cold.isWithheld(upstream),
+      isWithheld: (upstream) => cold.isWithheld(upstream) || isOffWayBack(request, upstream),
       reach: zoneReachOf(context, request),
     },
     permittedUpstreams(context, request),
--- a/packages/gateway/src/requests/servedRequest.ts
+++ b/packages/gateway/src/requests/servedRequest.ts
@@ -5,6 +5,7 @@
 import type { Route, ServiceDefinition } from '../types.ts';
 import { RouteKind } from '../types.ts';
 import type { CallerExchange } from './ports.ts';
+import type { WayBack } from './wayBack.ts';
 
 /** Tokens that are reserved for a request until it ends. */
 export interface Reservation {
@@ -40,6 +41,8 @@
   firstDataMs: number | undefined;
   /** True once an engine has ended before it began to answer the request. */
   endedEngine: boolean;
+  /** Set while a started stream has been given up for another upstream that has not taken it yet. */
+  wayBack: WayBack | undefined;
   /** Set if the request was let through to find out whether a quarantined part still crashes engines. */
   probe: Probe | undefined;
 }
--- /dev/null
+++ b/packages/gateway/src/requests/wayBack.ts
@@ -0,0 +1,96 @@
+import type { GatewayContext } from '../context.ts';
+import { permittedUpstreams } from '../placement/permittedUpstreams.ts';
+import type { UpstreamView } from '../placement/upstreamView.ts';
+import { tryReserveRetry } from '../retries/reserveRetry.ts';
+import type { AttemptResult } from './attemptProgress.ts';
+import { AttemptEnd } from './attemptProgress.ts';
+import type { ServedRequest } from './servedRequest.ts';
+
+/**
+ * The upstream of a started stream that paused and was given up for another one. It may only have preempted the stream, so
+ * that the request goes back to it if no other upstream takes it: the caller's response would otherwise be cut off.
+ */
+export interface WayBack {
+  readonly upstream: UpstreamView;
+  /** True once the request goes back to it; it then waits there until its deadline. */
+  isTaken: boolean;
+}
+
+/** Another upstream, and the way back from it. */
+const RESERVED_RETRIES = 2;
+
+/**
+ * Reserves what is needed to give up an upstream that pauses; false if the request must wait for it. A started stream is
+ * only given up if another upstream is usable.
+ */
+export function tryReserveSwitch(
+  context: GatewayContext,
+  request: ServedRequest,
+  upstream: UpstreamView,
+): boolean {
+  if (!request.responseStarted) {
+    return tryReserveRetry(context, request);
+  }
+  if (!hasAlternative(context, request) || !tryReserveRetry(context, request, RESERVED_RETRIES)) {
+    return false;
+  }
+  request.wayBack = { upstream, isTaken: false };
+  return true;
+}
+
+function hasAlternative(context: GatewayContext, request: ServedRequest): boolean {
+  const nowMs = context.loop.nowMs();
+  return [...permittedUpstreams(context, request)].some(
+    (upstream) =>
+      upstream.entry.serviceName === request.service.name &&
+      !request.triedUpstreams.has(upstream.entry.upstreamId) &&
+      upstream.isUsable(nowMs),
+  );
+}
+
+/** Records that another upstream has taken the request, which shows that the one that paused had failed. */
+export function recordSwitch({ loop }: GatewayContext, request: ServedRequest): void {
+  if (request.wayBack?.isTaken === false) {
+    request.wayBack.upstream.recordFailure(loop.nowMs());
+    request.wayBack = undefined;
+  }
+}
+
+/** Returns true if the request goes back to the upstream that paused. */
+export function takeWayBack({ wayBack, triedUpstreams }: ServedRequest): boolean {
+  if (wayBack?.isTaken !== false) {
+    return false;
+  }
+  wayBack.isTaken = true;
+  triedUpstreams.delete(wayBack.upstream.entry.upstreamId);
+  return true;
+}
+
+/** The same after an attempt that ended the request for lack of another upstream. */
+export function takeWayBackAfter(request: ServedRequest, { end }: AttemptResult): boolean {
+  switch (end) {
+    case AttemptEnd.NotSent:
+    case AttemptEnd.Refused:
+    case AttemptEnd.ErrorResponse:
+    case AttemptEnd.Broken:
+      return takeWayBack(request);
+    case AttemptEnd.Answered:
+    case AttemptEnd.Withdrawn:
+    case AttemptEnd.CallerDisconnected:
+    case AttemptEnd.DeadlineExceeded:
+    case AttemptEnd.RouterStopping:
+      return false;
+  }
+}
+
+/** Called after each attempt: once the request has gone back, any upstream that is left may get it. */
+export function endWayBack(request: ServedRequest): void {
+  if (request.wayBack?.isTaken === true) {
+    request.wayBack = undefined;
+  }
+}
+
+/** Whether an upstream may not get the request since it goes back to another one. */
+export function isOffWayBack({ wayBack }: ServedRequest, upstream: UpstreamView): boolean {
+  return wayBack?.isTaken === true && wayBack.upstream !== upstream;
+}
--- a/packages/gateway/src/retries/reserveRetry.ts
+++ b/packages/gateway/src/retries/reserveRetry.ts
@@ -2,13 +2,17 @@
 import type { ServedRequest } from '../requests/servedRequest.ts';
 import { RetryBudget } from './retryBudget.ts';
 
-/** Reserves one more attempt of a request in the retry budget of its service; false if none is allowed. */
-export function tryReserveRetry(context: GatewayContext, request: ServedRequest): boolean {
+/** Reserves further attempts of a request in the retry budget of its service; false if they are not allowed. */
+export function tryReserveRetry(context: GatewayContext, request: ServedRequest, count = 1): boolean {
   const nowMs = context.loop.nowMs();
   return (
     request.sentCount < request.route.maxAttempts &&
     nowMs < request.deadlineAtMs &&
-    getOrCreateRetryBudget(context, request.service.name).tryReserveRetry(nowMs, context.maxRouterCount())
+    getOrCreateRetryBudget(context, request.service.name).tryReserveRetry(
+      nowMs,
+      context.maxRouterCount(),
+      count,
+    )
   );
 }
 
--- a/packages/gateway/src/retries/retryBudget.ts
+++ b/packages/gateway/src/retries/retryBudget.ts
@@ -31,21 +31,21 @@
   }
 
   /**
-   * Reserves one retry; returns false if the budget is exhausted and the retry must not be sent.
+   * Reserves retries; returns false if the budget does not cover them and none of them must be sent.
    *
    * @param routerCount upper bound of the routers that share the slack
    */
-  tryReserveRetry(nowMs: number, routerCount: number): boolean {
+  tryReserveRetry(nowMs: number, routerCount: number, count = 1): boolean {
     const bucket = this.bucketAt(nowMs);
     const requests = this.buckets.reduce((sum, { requests }) => sum + requests, 0);
     const repeats = this.buckets.reduce((sum, { repeats }) => sum + repeats, 0);
     const allowed =
       this.options.ratio * RATIO_SAFETY_FACTOR * requests +
       Math.floor(this.options.slack / Math.max(1, routerCount));
-    if (repeats + 1 > allowed) {
+    if (repeats + count > allowed) {
       return false;
     }
-    bucket.repeats += 1;
+    bucket.repeats += count;
     return true;
   }
 
