Do not take the limit of connections for the end of an upstream

An upstream that accepts no more connections resets a watch right after it was opened. For 50 ms after that, the end of a response without a length counted as closed together with it, so that a whole response would have been broken off. Found by reading, not seen by a caller.

A close within 50 ms of the open shows nothing now, and the check without a watch decides. The test with an upstream that resets further connections 10 ms after it has accepted them fails before.

--- a/packages/gateway/src/http/__tests__/watchConnections.test.ts
+++ b/packages/gateway/src/http/__tests__/watchConnections.test.ts
@@ -66,6 +66,7 @@
   const watch = new WatchConnections({ ...OPTIONS, renewalIntervalMs: 100 }).watch(entry);
   assert.equal(watch.state, WatchState.Unavailable);
   await waitForState(watch, WatchState.Open);
+  await sleep(60);
   sockets[0]?.destroy();
   await waitForState(watch, WatchState.JustClosed);
   await waitForState(watch, WatchState.Unavailable);
@@ -136,6 +137,20 @@
   watch.close();
 });
 
+test('an upstream that closes further connections at once is not taken for one that ends (its limit was reached)', async (t) => {
+  const { entry, sockets } = await startEngine(t, (socket) => {
+    setTimeout(() => socket.resetAndDestroy(), 10);
+  });
+  const watch = new WatchConnections(OPTIONS).watch(entry);
+  const untilMs = performance.now() + 200;
+  while (performance.now() < untilMs) {
+    assert.notEqual(watch.state, WatchState.JustClosed);
+    await new Promise(setImmediate);
+  }
+  assert.equal(sockets.length, 1);
+  watch.close();
+});
+
 test('an upstream that refuses connections is not watched', async (t) => {
   const { entry, server } = await startEngine(t);
   server.close();
--- a/packages/gateway/src/http/watchConnections.ts
+++ b/packages/gateway/src/http/watchConnections.ts
@@ -42,7 +42,8 @@
 }
 
 class SharedWatch {
-  private readonly sockets = new Set<Socket>();
+  /** Open connections with the times at which they were opened. */
+  private readonly sockets = new Map<Socket, number>();
   private subscriberCount = 0;
   private closedAtMs: number | undefined;
   private timer: NodeJS.Timeout;
@@ -106,8 +107,8 @@
         socket.destroy();
         return;
       }
-      const predecessors = [...this.sockets];
-      this.sockets.add(socket);
+      const predecessors = [...this.sockets.keys()];
+      this.sockets.set(socket, performance.now());
       setTimeout(() => {
         predecessors.forEach((predecessor) => {
           this.release(predecessor);
@@ -132,17 +133,22 @@
     socket.destroy();
   }
 
-  /** After the upstream has closed a connection, none is opened again: it might lead to another process. */
+  /**
+   * After the upstream has closed a connection, none is opened again: it might lead to another process. A close right
+   * after the open is that of an upstream with too many connections, and does not count as one with a response.
+   */
   private recordClose(socket: Socket): void {
-    if (this.sockets.has(socket)) {
-      this.closedAtMs = performance.now();
+    const openedAtMs = this.sockets.get(socket);
+    if (openedAtMs !== undefined) {
+      const nowMs = performance.now();
+      this.closedAtMs = nowMs - openedAtMs < JUST_CLOSED_MS ? -Infinity : nowMs;
       this.destroyAll();
     }
   }
 
   private destroyAll(): void {
     clearTimeout(this.timer);
-    for (const socket of [...this.sockets]) {
+    for (const socket of [...this.sockets.keys()]) {
       this.release(socket);
     }
   }
