--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -11,8 +11,8 @@
 import { RouteKind } from '../types.ts';
 import type { AttemptOutcome, AttemptProgress, AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd, endPrefill, recordProgress } from './attemptProgress.ts';
-import { adjustWatch, confirmEnd, endWatch, prepareWatch } from './attemptWatch.ts';
 import { checkTimeouts, MAX_HELD_RESPONSE_BYTES, nextTimeoutAtMs } from './attemptTimeouts.ts';
+import { adjustWatch, confirmEnd, endWatch, prepareWatch } from './attemptWatch.ts';
 import { ByteCollector } from './byteCollector.ts';
 import { enginePriority } from './enginePriority.ts';
 import { EventSplitter } from './eventSplitter.ts';
@@ -22,8 +22,8 @@
 import type { ServedRequest } from './servedRequest.ts';
 import { isRetryable } from './servedRequest.ts';
 import { recordAnswerStart, registerUnanswered } from './suspectRequests.ts';
-import { recordSwitch } from './wayBack.ts';
 import { recordIfUnresponsive } from './unresponsiveUpstream.ts';
+import { recordSwitch } from './wayBack.ts';
 
 /** Status of a response on a streaming route whose body is an event stream. */
 const EVENT_STREAM_STATUS = 200;
