Give the retry for the way back to the budget once it is not needed

A paused stream that another upstream takes used up two retries instead of one, so that half as many streams of an engine that has gone dark could be sent elsewhere within the budget of a router.

The retry goes back to the interval in which it was reserved. A test of pausedStream.test.ts fails before; one of retryBudget.test.ts guards the window.

--- a/packages/gateway/src/requests/__tests__/pausedStream.test.ts
+++ b/packages/gateway/src/requests/__tests__/pausedStream.test.ts
@@ -105,3 +105,22 @@
   assert.ok((failureRate(taken) ?? 0) > 0);
   assert.equal(failureRate(refused), 0);
 });
+
+test('the retry for the way back is given back once another upstream has taken the stream (half as many were saved)', () => {
+  const { rig } = switchPausedStream();
+  const budget = rig.context.board.retryBudgets.get('orders');
+  assert.ok(budget);
+  const nowMs = rig.context.loop.nowMs();
+  const countLeft = (): number => {
+    let count = 0;
+    while (budget.tryReserveRetry(nowMs, 1)) {
+      count += 1;
+    }
+    return count;
+  };
+  countLeft();
+  assert.equal(countLeft(), 0);
+  rig.call.sent();
+  rig.call.head();
+  assert.equal(countLeft(), 1);
+});
--- a/packages/gateway/src/requests/wayBack.ts
+++ b/packages/gateway/src/requests/wayBack.ts
@@ -1,7 +1,7 @@
 import type { GatewayContext } from '../context.ts';
 import { permittedUpstreams } from '../placement/permittedUpstreams.ts';
 import type { UpstreamView } from '../placement/upstreamView.ts';
-import { tryReserveRetry } from '../retries/reserveRetry.ts';
+import { getOrCreateRetryBudget, tryReserveRetry } from '../retries/reserveRetry.ts';
 import type { AttemptResult } from './attemptProgress.ts';
 import { AttemptEnd } from './attemptProgress.ts';
 import type { ServedRequest } from './servedRequest.ts';
@@ -12,6 +12,8 @@
  */
 export interface WayBack {
   readonly upstream: UpstreamView;
+  /** Monotonic time at which the retry for the way back was reserved. */
+  readonly reservedAtMs: number;
   /** True once the request goes back to it; it then waits there until its deadline. */
   isTaken: boolean;
 }
@@ -34,7 +36,7 @@
   if (!hasAlternative(context, request) || !tryReserveRetry(context, request, RESERVED_RETRIES)) {
     return false;
   }
-  request.wayBack = { upstream, isTaken: false };
+  request.wayBack = { upstream, reservedAtMs: context.loop.nowMs(), isTaken: false };
   return true;
 }
 
@@ -48,10 +50,15 @@
   );
 }
 
-/** Records that another upstream has taken the request, which shows that the one that paused had failed. */
-export function recordSwitch({ loop }: GatewayContext, request: ServedRequest): void {
-  if (request.wayBack?.isTaken === false) {
-    request.wayBack.upstream.recordFailure(loop.nowMs());
+/**
+ * Records that another upstream has taken the request, which shows that the one that paused had failed. The retry for the
+ * way back is not needed any more.
+ */
+export function recordSwitch(context: GatewayContext, request: ServedRequest): void {
+  const { service, wayBack } = request;
+  if (wayBack?.isTaken === false) {
+    wayBack.upstream.recordFailure(context.loop.nowMs());
+    getOrCreateRetryBudget(context, service.name).releaseRetry(wayBack.reservedAtMs);
     request.wayBack = undefined;
   }
 }
--- a/packages/gateway/src/retries/__tests__/retryBudget.test.ts
+++ b/packages/gateway/src/retries/__tests__/retryBudget.test.ts
@@ -29,3 +29,13 @@
   assert.equal(budget.tryReserveRetry(5_000, 1), false);
   assert.equal(budget.tryReserveRetry(10_500, 1), true);
 });
+
+test('a retry that was not sent counts no longer, and one whose window has passed is not given back twice', () => {
+  const budget = new RetryBudget({ ratio: 0, windowMs: 10_000, slack: 1 });
+  assert.equal(budget.tryReserveRetry(0, 1), true);
+  budget.releaseRetry(0);
+  assert.equal(budget.tryReserveRetry(100, 1), true);
+  assert.equal(budget.tryReserveRetry(11_000, 1), true);
+  budget.releaseRetry(100);
+  assert.equal(budget.tryReserveRetry(11_000, 1), false);
+});
--- a/packages/gateway/src/retries/retryBudget.ts
+++ b/packages/gateway/src/retries/retryBudget.ts
@@ -49,8 +49,21 @@
     return true;
   }
 
+  /** Gives a retry back that was reserved at a time and not sent. */
+  releaseRetry(reservedAtMs: number): void {
+    const index = this.bucketIndex(reservedAtMs);
+    const bucket = this.buckets.find((candidate) => candidate.index === index);
+    if (bucket !== undefined && bucket.repeats > 0) {
+      bucket.repeats -= 1;
+    }
+  }
+
+  private bucketIndex(atMs: number): number {
+    return Math.floor(atMs / (this.options.windowMs / BUCKETS_PER_WINDOW));
+  }
+
   private bucketAt(nowMs: number): Bucket {
-    const index = Math.floor(nowMs / (this.options.windowMs / BUCKETS_PER_WINDOW));
+    const index = this.bucketIndex(nowMs);
     while (this.buckets.length > 0 && (this.buckets[0]?.index ?? index) <= index - BUCKETS_PER_WINDOW) {
       this.buckets.shift();
     }
