Read the sockets once more before a watch counts as open

After a pause of the process, Node.js runs timers before it reads sockets, so that the check of a watch could end as "stays open" while its close was waiting to be read; a shortened response would then have looked whole. Found by reading, not seen by a caller. The check waits for one more turn of the event loop. The test fails before.

--- a/packages/gateway/src/requests/__tests__/upstreamEnd.test.ts
+++ b/packages/gateway/src/requests/__tests__/upstreamEnd.test.ts
@@ -134,6 +134,18 @@
   assert.equal(caller.aborted, true);
 });
 
+test('a stream is not whole if its watch turns out to be closed after a pause in the check (the timer ran first)', async () => {
+  const { rig, caller } = startWatchedStream();
+  rig.call.end(true);
+  await settle();
+  rig.advance(480);
+  rig.stall(100);
+  rig.watchStates.set(rig.call.upstreamId, WatchState.JustClosed);
+  rig.advance(50);
+  assert.equal(caller.ended, false);
+  assert.equal(caller.aborted, true);
+});
+
 test('a stream that is closed together with the watch is not whole, although something listens at the address', async () => {
   const { rig, caller } = startStream();
   rig.watchStates.set(rig.call.upstreamId, WatchState.JustClosed);
--- a/packages/gateway/src/requests/upstreamEnd.ts
+++ b/packages/gateway/src/requests/upstreamEnd.ts
@@ -13,6 +13,8 @@
 const CLOSE_TOGETHER_MS = 50;
 /** The same if the network loses a packet, which is sent again 200 ms later and then after 400 ms. */
 const CLOSE_TOGETHER_LOSSY_MS = 500;
+/** Shortest wait after which the sockets have been read once more. */
+const SOCKET_READ_MS = 1;
 
 /** Why a response that only its connection delimits may not be complete. */
 export enum EndDoubt {
@@ -92,6 +94,8 @@
   while (watch.state === WatchState.Open && loop.nowMs() < untilMs) {
     yield* sleepUntil(Math.min(untilMs, loop.nowMs() + CHECK_INTERVAL_MS));
   }
+  // After a pause of the process, timers run before its sockets are read.
+  yield* sleepUntil(loop.nowMs() + SOCKET_READ_MS);
   if (watch.state !== WatchState.Open) {
     return EndDoubt.ClosedTogether;
   }
