--- a/packages/gateway/src/requests/__tests__/upstreamEnd.test.ts
+++ b/packages/gateway/src/requests/__tests__/upstreamEnd.test.ts
@@ -146,6 +146,23 @@
   assert.equal(caller.aborted, true);
 });
 
+test('a stream is not whole if the register no longer states the start time of its engine', async () => {
+  const rig = new RequestRig({ kind: RouteKind.Streaming, timeoutMs: 20_000 }, ['a']);
+  const { board, options } = rig.context;
+  const view = board.upstreams.get('a');
+  assert.ok(view);
+  view.entry = { ...view.entry, startTimeMs: 1 };
+  const caller = rig.send({ deadlineMs: 20_000 });
+  rig.call.sent();
+  rig.call.head({}, undefined, true);
+  rig.call.data('id: 1\ndata: a\n\n');
+  board.upstreams.set('a', new UpstreamView({ ...view.entry, startTimeMs: undefined }, options.placement));
+  rig.call.end(true);
+  await settle();
+  assert.equal(caller.ended, false);
+  assert.equal(caller.aborted, true);
+});
+
 test('a stream that is closed together with the watch is not whole, although something listens at the address', async () => {
   const { rig, caller } = startStream();
   rig.watchStates.set(rig.call.upstreamId, WatchState.JustClosed);
--- a/packages/gateway/src/requests/upstreamEnd.ts
+++ b/packages/gateway/src/requests/upstreamEnd.ts
@@ -107,14 +107,16 @@
  * address, which matters only if no connection shows that the process still runs.
  */
 function hasRestarted({ board }: GatewayContext, { upstream, watch }: CloseDelimitedResponse): boolean {
-  const { upstreamId, address, startTimeMs = -Infinity } = upstream;
+  const { upstreamId, address, startTimeMs } = upstream;
   const current = board.upstreams.get(upstreamId)?.entry;
-  const hasMoved = current !== undefined && current.address !== address;
-  if (hasMoved && watch?.state !== WatchState.Open) {
+  if (current !== undefined && current.address !== address && watch?.state !== WatchState.Open) {
+    return true;
+  }
+  if (current?.address === address && current.startTimeMs !== startTimeMs) {
     return true;
   }
   return [...board.upstreams.values()].some(
-    ({ entry }) => entry.address === address && (entry.startTimeMs ?? -Infinity) > startTimeMs,
+    ({ entry }) => entry.address === address && (entry.startTimeMs ?? -Infinity) > (startTimeMs ?? -Infinity),
   );
 }
 
