--- a/packages/gateway/src/requests/__tests__/pausedStream.test.ts
+++ b/packages/gateway/src/requests/__tests__/pausedStream.test.ts
@@ -48,6 +48,10 @@
     assert.equal(caller.aborted, false);
     assert.equal(rig.calls.length, 3);
     assert.equal(rig.call.upstreamId, rig.calls[0]?.upstreamId);
+    assert.ok(rig.logged.includes('stream goes back to the upstream that paused; no other one takes it'));
+    const metrics = rig.context.metrics.prometheusText();
+    assert.match(metrics, /pimentostall_paused_streams_total\{outcome="went-back"\} 1/);
+    assert.doesNotMatch(metrics, /outcome="switched"/);
     assert.equal(rig.call.request.lastEventId, '1');
     rig.call.sent();
     rig.call.head();
--- a/packages/gateway/src/requests/__tests__/upstreamEnd.test.ts
+++ b/packages/gateway/src/requests/__tests__/upstreamEnd.test.ts
@@ -121,6 +121,10 @@
   rig.advance(WATCH_LIMIT_MS);
   assert.equal(caller.ended, true);
   assert.deepEqual(rig.watched, []);
+  assert.match(
+    rig.context.metrics.prometheusText(),
+    /pimentostall_close_delimited_responses_total\{end="complete"\} 1/,
+  );
 });
 
 test('a stream of an engine that no longer listens is not whole if its process ends with it', async () => {
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -225,7 +225,7 @@
     const placement = choosePlacement(context, request, cold);
     cold.recordPlacement(placement !== undefined);
     if (placement === undefined) {
-      if (takeWayBack(request)) {
+      if (takeWayBack(context, request)) {
         continue;
       }
       finishUnplaced(context, request, cold);
@@ -239,7 +239,7 @@
     recordZoneResponse(context, request, placement, result);
     yield* recordEndedEngine(context, request, placement, result);
     const step = nextStep(context, request, result);
-    if (step !== 'retry' && !takeWayBackAfter(request, result)) {
+    if (step !== 'retry' && !takeWayBackAfter(context, request, result)) {
       finish(context, request.exchange, request, step, result.detail);
       return;
     }
--- a/packages/gateway/src/requests/upstreamEnd.ts
+++ b/packages/gateway/src/requests/upstreamEnd.ts
@@ -19,15 +19,15 @@
 /** Why a response that only its connection delimits may not be complete. */
 export enum EndDoubt {
   /** Another connection to the upstream was closed together with it. */
-  ClosedTogether = 'closed together with another connection',
+  ClosedTogether = 'closed-together',
   /** Nothing listens at the address, and no other connection shows that the process still runs. */
-  NotListening = 'upstream stopped listening',
+  NotListening = 'not-listening',
   /** The deadline came before it was known whether another connection stays open. */
-  Deadline = 'deadline before the check has ended',
+  Deadline = 'deadline',
   /** The register could not be read after a stall in which the upstream may have restarted. */
-  RegisterOutdated = 'register not read since a stall',
+  RegisterOutdated = 'register-outdated',
   /** The register names a later incarnation. */
-  Restarted = 'upstream restarted',
+  Restarted = 'restarted',
 }
 
 /** A response that only the end of its connection delimits. */
--- a/packages/gateway/src/requests/wayBack.ts
+++ b/packages/gateway/src/requests/wayBack.ts
@@ -1,4 +1,5 @@
 import type { GatewayContext } from '../context.ts';
+import { LogLevel } from '../observability/log.ts';
 import { permittedUpstreams } from '../placement/permittedUpstreams.ts';
 import type { UpstreamView } from '../placement/upstreamView.ts';
 import { getOrCreateRetryBudget, tryReserveRetry } from '../retries/reserveRetry.ts';
@@ -18,6 +19,15 @@
   isTaken: boolean;
 }
 
+/** What became of a started stream that paused; label of `pimentostall_paused_streams_total`. */
+enum PauseOutcome {
+  GivenUp = 'given-up',
+  /** Another upstream has taken the stream. */
+  Switched = 'switched',
+  /** The stream goes on at the upstream that paused. */
+  WentBack = 'went-back',
+}
+
 /** Another upstream, and the way back from it. */
 const RESERVED_RETRIES = 2;
 
@@ -37,6 +47,7 @@
     return false;
   }
   request.wayBack = { upstream, reservedAtMs: context.loop.nowMs(), isTaken: false };
+  countPause(context, PauseOutcome.GivenUp);
   return true;
 }
 
@@ -60,27 +71,43 @@
     wayBack.upstream.recordFailure(context.loop.nowMs());
     getOrCreateRetryBudget(context, service.name).releaseRetry(wayBack.reservedAtMs);
     request.wayBack = undefined;
+    countPause(context, PauseOutcome.Switched);
   }
 }
 
 /** Returns true if the request goes back to the upstream that paused. */
-export function takeWayBack({ wayBack, triedUpstreams }: ServedRequest): boolean {
+export function takeWayBack(context: GatewayContext, request: ServedRequest): boolean {
+  const { requestId, triedUpstreams, wayBack } = request;
   if (wayBack?.isTaken !== false) {
     return false;
   }
   wayBack.isTaken = true;
-  triedUpstreams.delete(wayBack.upstream.entry.upstreamId);
+  const { upstreamId } = wayBack.upstream.entry;
+  triedUpstreams.delete(upstreamId);
+  countPause(context, PauseOutcome.WentBack);
+  context.log(LogLevel.Info, 'stream goes back to the upstream that paused; no other one takes it', {
+    requestId,
+    upstream: upstreamId,
+  });
   return true;
 }
 
+function countPause({ metrics }: GatewayContext, outcome: PauseOutcome): void {
+  metrics.count('pimentostall_paused_streams_total', `outcome="${outcome}"`);
+}
+
 /** The same after an attempt that ended the request for lack of another upstream. */
-export function takeWayBackAfter(request: ServedRequest, { end }: AttemptResult): boolean {
+export function takeWayBackAfter(
+  context: GatewayContext,
+  request: ServedRequest,
+  { end }: AttemptResult,
+): boolean {
   switch (end) {
     case AttemptEnd.NotSent:
     case AttemptEnd.Refused:
     case AttemptEnd.ErrorResponse:
     case AttemptEnd.Broken:
-      return takeWayBack(request);
+      return takeWayBack(context, request);
     case AttemptEnd.Answered:
     case AttemptEnd.Withdrawn:
     case AttemptEnd.CallerDisconnected:
--- a/packages/gateway/src/retries/__tests__/retryBudget.test.ts
+++ b/packages/gateway/src/retries/__tests__/retryBudget.test.ts
@@ -30,7 +30,7 @@
   assert.equal(budget.tryReserveRetry(10_500, 1), true);
 });
 
-test('a retry that was not sent counts no longer, and one whose window has passed is not given back twice', () => {
+test('giving a retry back does not lift the limit of a later window (a service got more retries than allowed)', () => {
   const budget = new RetryBudget({ ratio: 0, windowMs: 10_000, slack: 1 });
   assert.equal(budget.tryReserveRetry(0, 1), true);
   budget.releaseRetry(0);
