--- a/packages/gateway/src/http/__tests__/hasEnded.test.ts
+++ b/packages/gateway/src/http/__tests__/hasEnded.test.ts
@@ -3,10 +3,9 @@
 import type { AddressInfo } from 'node:net';
 import { createServer } from 'node:net';
 import { test } from 'node:test';
-import type { UpstreamEntry } from '../../types.ts';
-import { UpstreamState } from '../../types.ts';
 import { UpstreamConnections } from '../upstreamConnections.ts';
 import type { WireCodec } from '../wireCodec.ts';
+import { createEntry } from './testEntry.ts';
 
 const codec: WireCodec = {
   decodeRequest: () => assert.fail('not used'),
@@ -22,20 +21,6 @@
   connectionLimit: () => 2,
 });
 
-function createEntry(port: number): UpstreamEntry {
-  return {
-    upstreamId: 'engine',
-    serviceName: 'engines',
-    address: `127.0.0.1:${port}`,
-    availabilityZone: 'z',
-    state: UpstreamState.Ready,
-    slots: 1,
-    warmupLeftMs: 0,
-    startTimeMs: undefined,
-    sequence: undefined,
-  };
-}
-
 test('an engine whose process has ended is told from one that only closed a connection', async () => {
   const server = createServer((socket) => {
     socket.destroy();
--- a/packages/gateway/src/http/__tests__/watchConnections.test.ts
+++ b/packages/gateway/src/http/__tests__/watchConnections.test.ts
@@ -8,8 +8,8 @@
 import { WatchState } from '../../requests/ports.ts';
 import type { UpstreamWatch } from '../../requests/ports.ts';
 import type { UpstreamEntry } from '../../types.ts';
-import { UpstreamState } from '../../types.ts';
 import { WatchConnections } from '../watchConnections.ts';
+import { createEntry } from './testEntry.ts';
 
 const OPEN_DELAY_MS = 20;
 const OPTIONS = { connectTimeoutMs: 500, renewalIntervalMs: 60_000, openDelayMs: OPEN_DELAY_MS };
@@ -41,18 +41,7 @@
     }
   });
   const { port } = server.address() as AddressInfo;
-  const entry = {
-    upstreamId: 'engine',
-    serviceName: 'engines',
-    address: `127.0.0.1:${port}`,
-    availabilityZone: 'z',
-    state: UpstreamState.Ready,
-    slots: 1,
-    warmupLeftMs: 0,
-    startTimeMs: 1,
-    sequence: 1,
-  };
-  return { server, entry, sockets };
+  return { server, entry: createEntry(port), sockets };
 }
 
 async function waitForState(watch: UpstreamWatch, state: WatchState): Promise<void> {
