Show whole streams of a leaving engine that are cut off at a planned stop

Cause: an engine that closes idle connections when it stops listening leaves the router without proof that it lives. Case: review/14, a script; planned work alone.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")" || exit 2
+node case.mjs
+status=$?
+[ "$status" -le 2 ] && exit "$status"
+exit 2
