--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -2,7 +2,6 @@
  * A machine is stopped while an engine leaves in an orderly way: the engine stops listening, closes its idle connections,
  * finishes its streams, which have no length, and ends. Without the engine's leaving (TROUBLE=0), only the machine is stopped.
  */
-import { spawn } from 'node:child_process';
 import path from 'node:path';
 import { BOUNDS, Deployment, LIMITS, MODEL_SERVICE, send, sleep } from '../lib-3/deployment.mjs';
 
@@ -26,7 +25,7 @@
 
 const program = path.join(import.meta.dirname, '../lib-3/engineProcess.mjs');
 const args = [program, id, host, '0', String(EVENTS), String(GAP_MS)];
-const engine = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'inherit'] });
+const engine = deployment.spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'inherit'] });
 const engineEnded = new Promise((resolve) =>
   engine.once('exit', (code) => {
     deployment.note(`the engine has ended by itself, code ${code}`);
--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -13,6 +13,10 @@
 
 export const ROOT = path.resolve(import.meta.dirname, '../..');
 const RESTART_DELAY_MS = 500;
+/** A case ends on its own long before. */
+const MAX_DURATION_MS = 110_000;
+/** Exit status of a broken rule; Node.js itself ends with 1 after an error. See run.sh. */
+const BROKEN_STATUS = 10;
 
 /** Bounds of the small deployments. */
 export const BOUNDS = {
@@ -69,14 +73,26 @@
     this.startedAtMs = performance.now();
     this.net = 20 + Math.floor(Math.random() * 200);
     this.routers = [];
+    /** All processes that were started, to be ended with the script. */
+    this.children = new Set();
     this.engines = [];
     this.runs = [];
     this.store = new Store();
     const command = /run = "([^"]+)"/.exec(readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8'))[1];
     this.command = command.split(' ');
     this.template = readFileSync(path.join(ROOT, 'deploy/router.yaml.template'), 'utf8');
-    process.once('SIGINT', () => this.stop(2));
-    process.once('SIGTERM', () => this.stop(2));
+    for (const event of ['SIGINT', 'SIGTERM', 'uncaughtException', 'unhandledRejection']) {
+      process.on(event, (cause) => {
+        this.note(`${event}: ${cause instanceof Error ? cause.stack : cause}`);
+        void this.stop(2);
+      });
+    }
+    process.on('exit', () => {
+      for (const child of this.children) {
+        child.kill('SIGKILL');
+      }
+    });
+    setTimeout(() => void this.stop(2), MAX_DURATION_MS).unref();
   }
 
   record(text) {
@@ -135,7 +151,18 @@
     }
   }
 
-  /** Ends all processes and the script. */
+  /** Starts a process that is ended with the script. */
+  spawn(program, args, options) {
+    const child = spawn(program, args, options);
+    this.children.add(child);
+    return child;
+  }
+
+  /**
+   * Ends all processes and the script.
+   *
+   * @param status 1 if the rule was broken, 0 if it held, 2 if the case couldn't run
+   */
   async stop(status) {
     for (const router of this.routers) {
       router.end();
@@ -148,7 +175,7 @@
     this.lines.push(`exit ${status}`);
     writeFileSync(this.recordFile, `${this.lines.join('\n')}\n`);
     rmSync(this.folder, { recursive: true, force: true });
-    process.exit(status);
+    process.exit(status === 1 ? BROKEN_STATUS : status);
   }
 }
 
@@ -192,7 +219,7 @@
   start() {
     const [program, ...args] = this.deployment.command;
     const { PATH, HOME, LANG } = process.env;
-    this.child = spawn(program === 'node' ? process.execPath : program, args, {
+    this.child = this.deployment.spawn(program === 'node' ? process.execPath : program, args, {
       cwd: ROOT,
       env: { PATH, HOME, ...(LANG !== undefined && { LANG }), PIMENTOSTALL_BOOT: this.settingsFile },
       stdio: ['ignore', 'pipe', 'inherit'],
