--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -65,10 +65,15 @@
 };
 
 export class Deployment {
-  /** @param {string} folder the folder of the case, which gets `record.txt` */
-  constructor(folder) {
+  /**
+   * @param {string} folder the folder of the case, which gets `record.txt`
+   * @param {{ memoryMb?: number, recordName?: string | undefined }} options
+   */
+  constructor(folder, options = {}) {
+    const { memoryMb, recordName } = { memoryMb: 350, recordName: 'record.txt', ...options };
+    this.memoryMb = memoryMb;
     this.folder = mkdtempSync(path.join(tmpdir(), 'pimentostall-review-'));
-    this.recordFile = path.join(folder, 'record.txt');
+    this.recordFile = recordName === undefined ? undefined : path.join(folder, recordName);
     this.lines = [];
     this.startedAtMs = performance.now();
     this.net = 20 + Math.floor(Math.random() * 200);
@@ -173,7 +178,9 @@
     }
     this.store.close();
     this.lines.push(`exit ${status}`);
-    writeFileSync(this.recordFile, `${this.lines.join('\n')}\n`);
+    if (this.recordFile !== undefined) {
+      writeFileSync(this.recordFile, `${this.lines.join('\n')}\n`);
+    }
     rmSync(this.folder, { recursive: true, force: true });
     process.exit(status === 1 ? BROKEN_STATUS : status);
   }
@@ -205,7 +212,7 @@
         directory: `${this.host}:${entry}`,
         'control-plane': `${this.host}:${control}`,
       },
-      limits: { 'memory-mb': 350, 'max-fds': 4100 },
+      limits: { 'memory-mb': deployment.memoryMb, 'max-fds': 4100 },
       bounds: BOUNDS,
       platform: {
         address: `${deployment.storeHost}:${deployment.storePort}`,
