--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -18,6 +18,7 @@
 const deployment = new Deployment(import.meta.dirname);
 const { store } = deployment;
 const id = 'i-1';
+await deployment.startStore();
 const host = deployment.host(150);
 const finished = new Set();
 let state = 'ready';
@@ -62,7 +63,6 @@
   });
 };
 
-await deployment.startStore();
 beat();
 const heartbeat = setInterval(beat, HEARTBEAT_MS);
 store.put('op', 'config', {
--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -15,6 +15,18 @@
 const RESTART_DELAY_MS = 500;
 /** A case ends on its own long before. */
 const MAX_DURATION_MS = 110_000;
+/** Characters of the output of a router that fails which are recorded. */
+const MAX_RECORDED_OUTPUT = 600;
+/** Port of the metrics in the settings template. */
+const METRICS_PORT = 9464;
+/** Ports below those that the kernel gives to outgoing connections. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+/** Second bytes of the loopback addresses of a deployment. */
+const FIRST_NET = 20;
+const NET_COUNT = 200;
+/** Address on which a deployment listens to reserve the others. */
+const RESERVATION_INDEX = 199;
 /** Exit status of a broken rule; Node.js itself ends with 1 after an error. See run.sh. */
 const BROKEN_STATUS = 10;
 
@@ -76,7 +88,7 @@
     this.recordFile = recordName === undefined ? undefined : path.join(folder, recordName);
     this.lines = [];
     this.startedAtMs = performance.now();
-    this.net = 20 + Math.floor(Math.random() * 200);
+    this.net = FIRST_NET;
     this.routers = [];
     /** All processes that were started, to be ended with the script. */
     this.children = new Set();
@@ -114,7 +126,12 @@
     return `127.${this.net}.${Math.floor(index / 200)}.${(index % 200) + 1}`;
   }
 
+  /** Takes addresses that no other deployment uses, and starts the store there. */
   async startStore() {
+    do {
+      this.net = FIRST_NET + Math.floor(Math.random() * NET_COUNT);
+      this.reservation = await tryListen(this.host(RESERVATION_INDEX), METRICS_PORT);
+    } while (this.reservation === undefined);
     this.storeHost = this.host(0);
     this.storePort = await freePort(this.storeHost);
     await this.store.listen(this.storeHost, this.storePort);
@@ -177,6 +194,7 @@
       engine.close();
     }
     this.store.close();
+    this.reservation?.close();
     this.lines.push(`exit ${status}`);
     if (this.recordFile !== undefined) {
       writeFileSync(this.recordFile, `${this.lines.join('\n')}\n`);
@@ -231,9 +249,15 @@
       env: { PATH, HOME, ...(LANG !== undefined && { LANG }), PIMENTOSTALL_BOOT: this.settingsFile },
       stdio: ['ignore', 'pipe', 'inherit'],
     });
-    this.child.stdout.on('data', (data) => this.onLog?.(data.toString()));
+    let lastOutput = '';
+    this.child.stdout.on('data', (data) => {
+      lastOutput = data.toString();
+    });
     this.child.once('exit', (code, signal) => {
       this.deployment.record(`process of ${this.name} ended: code ${code}, signal ${signal}`);
+      if (code !== null && code !== 0) {
+        this.deployment.record(lastOutput.trim().slice(-MAX_RECORDED_OUTPUT));
+      }
       if (this.restarts) {
         setTimeout(() => this.restarts && this.start(), RESTART_DELAY_MS);
       }
@@ -276,15 +300,28 @@
   });
 }
 
-async function freePort(host) {
-  const server = createServer();
-  await new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(0, host, resolve);
+/** Returns the listening server; undefined if the address is in use. */
+function tryListen(host, port) {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(undefined));
+    server.listen(port, host, () => resolve(server));
   });
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+}
+
+const takenPorts = new Set();
+
+/** Returns a port that is free at an address and that no other call has returned. */
+export async function freePort(host) {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    const server = takenPorts.has(port) ? undefined : await tryListen(host, port);
+    if (server !== undefined) {
+      takenPorts.add(port);
+      await new Promise((resolve) => server.close(resolve));
+      return port;
+    }
+  }
 }
 
 /**
