--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -76,8 +76,13 @@
   openRequests: number;
   /** Monotonic time of the store's last reply; undefined before the first. */
   storeLastReplyAtMs: number | undefined;
-  /** Monotonic time at which the store last recovered from an outage; undefined before the first outage. */
+  /**
+   * Monotonic time at which the store last recovered from an outage or came back from a copy; undefined before the first
+   * of these.
+   */
   storeRecoveredAtMs: number | undefined;
+  /** Era of the store: the number of its returns from a copy, as it counts them. Undefined for a store without eras. */
+  storeEra: number | undefined;
 }
 
 export function createBlackboard(
@@ -117,5 +122,6 @@
     openRequests: 0,
     storeLastReplyAtMs: undefined,
     storeRecoveredAtMs: undefined,
+    storeEra: undefined,
   };
 }
--- a/packages/gateway/src/configuration/__tests__/simulatedRouters.ts
+++ b/packages/gateway/src/configuration/__tests__/simulatedRouters.ts
@@ -130,6 +130,7 @@
       onDocument: ({ version }) => {
         assert.ok(version > (this.received?.version ?? 0), `router ${this.index} went back to ${version}`);
         this.received = { version, atMs: routers.timeline.nowMs };
+        return true;
       },
     });
     context.loop.spawn('configuration', follower.run());
--- a/packages/gateway/src/configuration/configurationFollower.ts
+++ b/packages/gateway/src/configuration/configurationFollower.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'neverthrow';
 import type { GatewayContext } from '../context.ts';
 import { LogLevel } from '../observability/log.ts';
+import { isOfEarlierEra } from '../storeEra/storePosition.ts';
 import type { RouterEntry } from '../types.ts';
 import { configurationRelays } from './configurationRelays.ts';
 import { documentSilentMs, recordReading, recordStoreContact } from './documentState.ts';
@@ -73,8 +74,11 @@
 export interface ConfigurationFollowerOptions {
   readonly store: DocumentStorePort;
   readonly relays: DocumentRelayPort;
-  /** Called with each document that is newer than all earlier ones. */
-  readonly onDocument: (document: ConfigurationDocument, origin: DocumentOrigin) => void;
+  /**
+   * Called with each document whose row is newer than all earlier ones. Returns false if the operator wrote the document
+   * in force later, as happens when the store comes back from a copy.
+   */
+  readonly onDocument: (document: ConfigurationDocument, origin: DocumentOrigin) => boolean;
 }
 
 /**
@@ -243,8 +247,11 @@
     if (reply.value === undefined) {
       return false;
     }
+    const { seenVersion = 0 } = this.context.board.configurationDocument;
     this.record(reply.value, routerId);
-    if (reply.value.silentMs > MAX_RELAY_SILENT_MS) {
+    // A relay that has not heard from the store since it came back from a copy cannot tell what the operator wrote since.
+    const isOutdated = isOfEarlierEra(reply.value.seenVersion, seenVersion);
+    if (isOutdated || reply.value.silentMs > MAX_RELAY_SILENT_MS) {
       this.pauseRelay(routerId, { sinceMs, durationMs: CUT_OFF_RELAY_PAUSE_MS, cutOff: true });
       return false;
     }
@@ -278,9 +285,16 @@
   }
 
   private record(reading: DocumentReading, relay: string | undefined): void {
+    const state = this.context.board.configurationDocument;
+    const previous = state.document;
     const document = recordReading(this.context, reading);
-    if (document !== undefined) {
-      this.options.onDocument(document, { relay, silentMs: Math.round(reading.silentMs) });
+    if (document === undefined) {
+      return;
+    }
+    const origin = { relay, silentMs: Math.round(reading.silentMs) };
+    if (!this.options.onDocument(document, origin) && previous !== undefined) {
+      // Followers that start before the operator has written again get the document in force.
+      state.document = { version: document.version, text: previous.text };
     }
   }
 }
--- a/packages/gateway/src/configuration/types.ts
+++ b/packages/gateway/src/configuration/types.ts
@@ -4,7 +4,7 @@
 
 /** The operator's configuration document as it was written. Its format is opaque to this package. */
 export interface ConfigurationDocument {
-  /** Version of its row in the store; 0 is before the first. */
+  /** Position of its row in the store (storePosition.ts); 0 is before the first. */
   readonly version: number;
   readonly text: string;
 }
@@ -13,7 +13,7 @@
 export interface DocumentReading {
   /** The newest document, unless it is the one that the reader has already. */
   readonly document: ConfigurationDocument | undefined;
-  /** Version of the store up to which no newer document exists. */
+  /** Position of the store up to which no newer document exists. */
   readonly seenVersion: number;
   /** Time since the store last replied to the router that read it. */
   readonly silentMs: number;
--- a/packages/gateway/src/http/evacuationHeaders.ts
+++ b/packages/gateway/src/http/evacuationHeaders.ts
@@ -20,7 +20,7 @@
 export function decodeEvacuations(headers: IncomingHttpHeaders): EvacuationReading | undefined {
   const names = headers[ZONES_HEADER];
   const version = headers[ZONES_VERSION_HEADER];
-  if (typeof names !== 'string' || typeof version !== 'string' || !/^\d{1,15}$/.test(version)) {
+  if (typeof names !== 'string' || typeof version !== 'string' || !/^\d{1,16}$/.test(version)) {
     return undefined;
   }
   try {
--- a/packages/gateway/src/http/peerDocuments.ts
+++ b/packages/gateway/src/http/peerDocuments.ts
@@ -188,5 +188,6 @@
 
 /** Decodes a non-negative integer. */
 function decodeNumber(value: string | string[] | null | undefined): number | undefined {
-  return typeof value === 'string' && /^\d{1,15}$/.test(value) ? Number(value) : undefined;
+  const number = typeof value === 'string' && /^\d{1,16}$/.test(value) ? Number(value) : undefined;
+  return Number.isSafeInteger(number) ? number : undefined;
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -52,6 +52,7 @@
 } from './placement/coldUpstreams.ts';
 export type { Placement, RouterLocation, PlacementRequest } from './placement/chooseUpstream.ts';
 export { chooseUpstream } from './placement/chooseUpstream.ts';
+export * from './storeEra/storePosition.ts';
 export type { ZoneSpillOptions } from './placement/zoneSpill.ts';
 export { DEFAULT_ZONE_SPILL } from './placement/zoneSpill.ts';
 export { recordRetryAfter } from './placement/recordRetryAfter.ts';
