--- a/packages/gateway/src/__tests__/fleet/simulatedEngines.ts
+++ b/packages/gateway/src/__tests__/fleet/simulatedEngines.ts
@@ -112,6 +112,8 @@
       },
       pause: () => undefined,
       resume: () => undefined,
+      staysHalfOpen: () => Promise.resolve(false),
+      release: () => undefined,
     };
   }
 
--- a/packages/gateway/src/http/upstreamConnections.ts
+++ b/packages/gateway/src/http/upstreamConnections.ts
@@ -1,6 +1,5 @@
 import type { Socket } from 'node:net';
 import { connect as connectSocket } from 'node:net';
-import { Writable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import { buildConnector, Client, errors, Pool } from 'undici';
 import type {
@@ -12,6 +11,7 @@
 } from '../requests/ports.ts';
 import { RequestEventKind, UpstreamFailure } from '../requests/ports.ts';
 import type { UpstreamEntry } from '../types.ts';
+import { HeldEnd } from './heldEnd.ts';
 import { WatchConnections } from './watchConnections.ts';
 import type { WireCodec } from './wireCodec.ts';
 
@@ -52,6 +52,9 @@
 /** Time within which a discarded body must end; until then its connection serves no other request. */
 const DISCARD_TIMEOUT_MS = 1_000;
 
+/** Longest time for which the end of a connection is held back. */
+const MAX_HELD_END_MS = 4_000;
+
 /** Time for which a response must last for its upstream to be watched. */
 const WATCH_DELAY_MS = 50;
 
@@ -191,7 +194,6 @@
               current.call?.recordReset();
             }
           });
-          socket.on('end', () => current.call?.probeForReset(socket));
           callback(null, socket);
           let parsedBytes = 0;
           // Registered after undici's own listener, which has parsed all that is no longer buffered.
@@ -217,6 +219,8 @@
         current.socket?.destroy(new errors.SocketError('call was cancelled'));
       }
     };
+    call.holdEnd = (onEnd) =>
+      current.call === call && current.socket !== undefined ? new HeldEnd(current.socket, onEnd) : undefined;
     return super.dispatch(options, handler);
   }
 }
@@ -226,13 +230,18 @@
   private controller: Dispatcher.DispatchController | undefined;
   /** Closes the connection of this call; undefined until it is assigned to a client. */
   closeConnection: (() => void) | undefined;
+  /** Holds back the end of the connection of this call. */
+  holdEnd: ((onEnd: () => void) => HeldEnd | undefined) | undefined;
   private ended = false;
+  private endReported = false;
   private cancelled = false;
   private discarding = false;
   private connectionReset = false;
   /** True for a close-delimited response, which has no length and ends with its connection. */
   private isCloseDelimited = false;
-  private resetProbe: Promise<void> | undefined;
+  /** The end of the connection of a close-delimited response, until the call is released. */
+  private heldEnd: HeldEnd | undefined;
+  private releaseTimer: NodeJS.Timeout | undefined;
   /** Bytes that were received on the connection since the request was sent. */
   private receivedBytes = 0;
   private bodyBytes = 0;
@@ -256,19 +265,29 @@
   }
 
   /**
-   * Detects whether the connection ended with a reset. If data and a reset arrive together, libuv reports an orderly
-   * end, and only a write reveals the reset. An upstream that has closed the connection ignores the line break.
+   * Reports the end of a close-delimited response while its connection is held, unless it ended with a reset. If data and
+   * a reset arrive together, libuv reports an orderly end, and only a write reveals the reset.
    */
-  probeForReset(socket: Socket): void {
-    if (this.isCloseDelimited && !this.ignoresEvents) {
-      this.resetProbe = new Promise((resolve) => {
-        // Node replaces the `write` method of a socket after the remote side has ended it.
-        Writable.prototype.write.call(socket, '\r\n', 'latin1', (cause) => {
-          this.connectionReset ||= cause instanceof Error;
-          resolve();
-        });
-      });
+  private async reportHeldEnd(): Promise<void> {
+    if (this.ignoresEvents) {
+      this.release();
+      return;
     }
+    this.releaseTimer = setTimeout(() => {
+      this.release();
+    }, MAX_HELD_END_MS).unref();
+    const isOpen = await this.heldEnd?.sendLineBreak();
+    this.connectionReset ||= isOpen === false;
+    this.reportEnd();
+  }
+
+  async staysHalfOpen(durationMs: number): Promise<boolean> {
+    return (await this.heldEnd?.staysOpen(durationMs)) ?? false;
+  }
+
+  release(): void {
+    clearTimeout(this.releaseTimer);
+    this.heldEnd?.release();
   }
 
   /** Marks the connection as failed, so that a subsequent end does not complete the response. */
@@ -328,6 +347,9 @@
     const framing = readFraming(headers);
     const hasBody = !BODILESS_STATUSES.has(status) && this.request.head.method !== 'HEAD';
     this.isCloseDelimited = hasBody && framing.isCloseDelimited;
+    if (this.isCloseDelimited) {
+      this.heldEnd = this.holdEnd?.(() => void this.reportHeldEnd());
+    }
     const head = this.codec.decodeUpstreamHead(this.request, status, headers);
     const { bodyBytes } = framing;
     this.report({
@@ -352,16 +374,14 @@
   onResponseEnd(): void {
     this.ended = true;
     clearTimeout(this.discardTimer);
-    if (this.resetProbe === undefined) {
-      this.reportEnd();
-    } else {
-      void this.resetProbe.then(() => {
-        this.reportEnd();
-      });
-    }
+    this.reportEnd();
   }
 
   private reportEnd(): void {
+    if (this.endReported) {
+      return;
+    }
+    this.endReported = true;
     if (this.connectionReset) {
       this.fail(UpstreamFailure.ConnectionClosed, 'connection reset before the end of the response');
     } else if (!this.ignoresEvents) {
@@ -376,7 +396,9 @@
   onResponseError(_controller: Dispatcher.DispatchController | undefined, cause: Error): void {
     this.ended = true;
     clearTimeout(this.discardTimer);
-    this.fail(failureOf(cause), formatError(cause));
+    if (!this.endReported) {
+      this.fail(failureOf(cause), formatError(cause));
+    }
   }
 
   private fail(failure: UpstreamFailure, detail: string): void {
--- a/packages/gateway/src/placement/upstreamView.ts
+++ b/packages/gateway/src/placement/upstreamView.ts
@@ -28,6 +28,8 @@
   readonly remoteLoad: RemoteLoad;
   /** Monotonic time at which a response of it last made progress, on any of its connections. */
   lastProgressAtMs = 0;
+  /** Monotonic time at which a part of a response of any attempt last arrived. */
+  lastDataAtMs = -Infinity;
   /** Monotonic time until which the upstream receives no requests. */
   ejectedUntilMs = 0;
   /** Moving average of the failure rate, from 0 to 1. */
--- a/packages/gateway/src/requests/__tests__/requestRig.ts
+++ b/packages/gateway/src/requests/__tests__/requestRig.ts
@@ -14,6 +14,7 @@
   LocalReply,
   RequestEvent,
   RequestHead,
+  UpstreamCall,
   UpstreamResponseHead,
   UpstreamRequest,
   UpstreamWatch,
@@ -95,6 +96,8 @@
   /** Ids of the upstreams at whose address nothing listens. */
   readonly ended = new Set<string>();
   /** What a watch of an upstream shows; by default its connection was not opened. */
+  /** Upstreams whose processes hold the connections of responses that they have ended. */
+  readonly halfOpen = new Set<string>();
   readonly watchStates = new Map<string, WatchState>();
   /** Ids of the upstreams that are watched, once for each watch. */
   readonly watched: string[] = [];
@@ -269,7 +272,7 @@
     request: UpstreamRequest,
     attempt: number,
     report: (event: RequestEvent) => void,
-  ): { cancel(): void; discard(): void; pause(): void; resume(): void } {
+  ): UpstreamCall {
     const call: FakeUpstreamCall = {
       upstreamId,
       request,
@@ -304,6 +307,8 @@
       discard: () => undefined,
       pause: () => undefined,
       resume: () => undefined,
+      staysHalfOpen: () => Promise.resolve(this.halfOpen.has(upstreamId)),
+      release: () => undefined,
     };
   }
 }
--- a/packages/gateway/src/requests/__tests__/upstreamEnd.test.ts
+++ b/packages/gateway/src/requests/__tests__/upstreamEnd.test.ts
@@ -23,8 +23,8 @@
 const WATCH_LIMIT_MS = 600;
 
 /** Starts a stream without a length, whose first event has been passed on. */
-function startStream(): { rig: RequestRig; caller: FakeCaller } {
-  const rig = new RequestRig({ kind: RouteKind.Streaming, timeoutMs: 20_000 });
+function startStream(upstreamIds?: readonly string[]): { rig: RequestRig; caller: FakeCaller } {
+  const rig = new RequestRig({ kind: RouteKind.Streaming, timeoutMs: 20_000 }, upstreamIds);
   rig.context.loop.spawn('periodic', workPeriodically(rig));
   const caller = rig.send({ deadlineMs: 20_000 });
   rig.call.sent();
@@ -33,7 +33,7 @@
   return { rig, caller };
 }
 
-/** Lets the check for the end of the process, and what waits for it, run. */
+/** Lets the checks for the end of the process, and what waits for them, run. */
 async function settle(): Promise<void> {
   await new Promise(setImmediate);
 }
@@ -134,6 +134,7 @@
   rig.advance(200);
   rig.watchStates.set(rig.call.upstreamId, WatchState.JustClosed);
   rig.advance(WATCH_LIMIT_MS);
+  await settle();
   assert.equal(caller.ended, false);
   assert.equal(caller.aborted, true);
 });
@@ -146,6 +147,7 @@
   rig.stall(100);
   rig.watchStates.set(rig.call.upstreamId, WatchState.JustClosed);
   rig.advance(50);
+  await settle();
   assert.equal(caller.ended, false);
   assert.equal(caller.aborted, true);
 });
@@ -230,3 +232,57 @@
   rig.context.board.upstreams.get(rig.call.upstreamId)?.reportLeaving();
   assert.deepEqual(rig.watched, []);
 });
+
+/** Starts such a stream of an engine that has stopped listening and has closed the watch as an idle connection. */
+function startStreamOfExitingEngine(): { rig: RequestRig; caller: FakeCaller } {
+  const { rig, caller } = startStream(['a']);
+  rig.ended.add(rig.call.upstreamId);
+  rig.watchStates.set(rig.call.upstreamId, WatchState.Unavailable);
+  return { rig, caller };
+}
+
+test('a stream of an engine without idle connections is whole if it still holds its connection (it was cut off)', async () => {
+  const { rig, caller } = startStreamOfExitingEngine();
+  rig.halfOpen.add(rig.call.upstreamId);
+  rig.call.end(true);
+  await settle();
+  assert.equal(caller.ended, true);
+});
+
+test('a stream of an engine without idle connections is whole if another one goes on after it (it was cut off)', async () => {
+  const { rig, caller } = startStreamOfExitingEngine();
+  const [first] = rig.calls;
+  const other = rig.send({ deadlineMs: 20_000 });
+  rig.call.sent();
+  rig.call.head({}, undefined, true);
+  first?.end(true);
+  await settle();
+  // Data that may have been sent before the end and was lost on the way once.
+  rig.advance(300);
+  rig.call.data('id: 1\ndata: a\n\n');
+  rig.advance(100);
+  assert.equal(caller.ended, false, 'passed on before a lost packet was ruled out');
+  rig.advance(300);
+  rig.call.data('id: 2\ndata: b\n\n');
+  rig.advance(100);
+  assert.equal(caller.ended, true);
+  // Nothing shows that the process outlives the last one.
+  rig.call.end(true);
+  await settle();
+  rig.advance(100);
+  assert.equal(other.aborted, true);
+});
+
+test('streams of an engine without idle connections that end together are not passed on as whole', async () => {
+  const { rig, caller } = startStreamOfExitingEngine();
+  const [first] = rig.calls;
+  const other = rig.send({ deadlineMs: 20_000 });
+  rig.call.sent();
+  rig.call.head({}, undefined, true);
+  rig.call.data('id: 1\ndata: a\n\n');
+  first?.end(true);
+  rig.call.end(true);
+  await settle();
+  rig.advance(2 * WATCH_LIMIT_MS);
+  assert.deepEqual([caller.aborted, other.aborted], [true, true]);
+});
--- a/packages/gateway/src/requests/attemptWatch.ts
+++ b/packages/gateway/src/requests/attemptWatch.ts
@@ -35,7 +35,7 @@
 export function* confirmEnd(
   context: GatewayContext,
   { deadlineAtMs }: ServedRequest,
-  { number, placement, sentAtMs, watch }: AttemptProgress,
+  { call, number, placement, sentAtMs, watch }: AttemptProgress,
   event: RequestEvent,
 ): Task<RequestEvent> {
   if (event.kind !== RequestEventKind.UpstreamEnd || event.attempt !== number || !event.endsWithConnection) {
@@ -46,6 +46,9 @@
     watch,
     sentAtMs: sentAtMs ?? -Infinity,
     deadlineAtMs,
+    connection: call,
+    otherDataAtMs: () =>
+      placement.upstream.sentAttempts.size > 1 ? placement.upstream.lastDataAtMs : undefined,
   });
   context.metrics.count('pimentostall_close_delimited_responses_total', `end="${doubt ?? 'complete'}"`);
   return doubt === undefined
--- a/packages/gateway/src/requests/eventSplitter.ts
+++ b/packages/gateway/src/requests/eventSplitter.ts
@@ -72,3 +72,8 @@
 function readEventId(event: Buffer): string | undefined {
   return /(?:^|\n)id: ?([^\r\n]*)/.exec(event.toString('latin1'))?.[1];
 }
+
+/** Whether bytes after the last event consist of line ends alone. */
+export function isBlank(bytes: Buffer): boolean {
+  return bytes.toString('latin1').trim() === '';
+}
--- a/packages/gateway/src/requests/ports.ts
+++ b/packages/gateway/src/requests/ports.ts
@@ -131,6 +131,13 @@
   discard(): void;
   pause(): void;
   resume(): void;
+  /**
+   * Tells whether the upstream still holds the connection of a response that it has ended without a length, for a time
+   * after that end; a process that has ended does not. False also for a connection that is closed for both directions.
+   */
+  staysHalfOpen(durationMs: number): Promise<boolean>;
+  /** Lets the connection of such a response end, which is held open after it. */
+  release(): void;
 }
 
 /** What a connection without a request shows about the process of an upstream. */
--- a/packages/gateway/src/requests/runAttempt.ts
+++ b/packages/gateway/src/requests/runAttempt.ts
@@ -15,7 +15,7 @@
 import { adjustWatch, confirmEnd, endWatch, prepareWatch } from './attemptWatch.ts';
 import { ByteCollector } from './byteCollector.ts';
 import { enginePriority } from './enginePriority.ts';
-import { EventSplitter } from './eventSplitter.ts';
+import { EventSplitter, isBlank } from './eventSplitter.ts';
 import { HeldResponse } from './heldResponse.ts';
 import type { RequestEvent, UpstreamResponseHead } from './ports.ts';
 import { RequestEventKind, UpstreamFailure } from './ports.ts';
@@ -78,6 +78,7 @@
     progress.heldMemory.release();
     view.unsentAttempts.delete(progress.withdrawUnsent);
     endWatch(progress);
+    progress.call.release();
     progress.coldAttempt?.end();
     view.inFlight -= 1;
     const endedTokens = endPrefill(progress);
@@ -297,6 +298,7 @@
   progress: AttemptProgress,
   data: Buffer,
 ): AttemptResult | undefined {
+  progress.placement.upstream.lastDataAtMs = context.loop.nowMs();
   const isEventStream = progress.splitter !== undefined && progress.head?.status === EVENT_STREAM_STATUS;
   if (!isEventStream) {
     return holdData(context, request, progress, data);
@@ -414,11 +416,6 @@
   return { end: AttemptEnd.Answered, detail: `status ${progress.head?.status ?? 0}` };
 }
 
-/** Whether bytes after the last event consist of line ends alone. */
-function isBlank(bytes: Buffer): boolean {
-  return bytes.toString('latin1').trim() === '';
-}
-
 function handleFailure(
   context: GatewayContext,
   progress: AttemptProgress,
--- a/packages/gateway/src/requests/upstreamEnd.ts
+++ b/packages/gateway/src/requests/upstreamEnd.ts
@@ -2,7 +2,7 @@
 import { sleepUntil } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
 import type { UpstreamEntry } from '../types.ts';
-import type { UpstreamWatch } from './ports.ts';
+import type { UpstreamCall, UpstreamWatch } from './ports.ts';
 import { WatchState } from './ports.ts';
 
 /** Longest wait for the register after a stall: a read of it that finds no change, and the pause before it. */
@@ -15,6 +15,10 @@
 const CLOSE_TOGETHER_LOSSY_MS = 500;
 /** Shortest wait after which the sockets have been read once more. */
 const SOCKET_READ_MS = 1;
+/** Time within which the line break after a response reveals that its connection is closed: lost once, it is sent again. */
+const HALF_OPEN_MS = 300;
+/** Time within which another response of the upstream shows that its process still runs: a pause between two events. */
+const OTHER_RESPONSE_MS = 500;
 
 /** Why a response that only its connection delimits may not be complete. */
 export enum EndDoubt {
@@ -38,6 +42,10 @@
   /** Monotonic time at which its request was sent. */
   readonly sentAtMs: number;
   readonly deadlineAtMs: number;
+  /** The connection of the response, which is held open after its end. */
+  readonly connection: Pick<UpstreamCall, 'staysHalfOpen'>;
+  /** Monotonic time at which another response of the upstream last arrived in part; undefined if there is none. */
+  readonly otherDataAtMs: () => number | undefined;
 }
 
 /**
@@ -51,8 +59,9 @@
   context: GatewayContext,
   response: CloseDelimitedResponse,
 ): Task<EndDoubt | undefined> {
+  const endedAtMs = context.loop.nowMs();
   const processDoubt = yield* findProcessDoubt(context, response);
-  if (processDoubt !== undefined) {
+  if (processDoubt !== undefined && !(yield* isShownToRun(context, response, endedAtMs))) {
     return processDoubt;
   }
   if (yield* isRegisterOutdated(context, response)) {
@@ -78,6 +87,36 @@
   }
 }
 
+/**
+ * Looks for other signs that the process outlives the response: an upstream that exits in an orderly way closes its idle
+ * connections first, the watch among them, and stops listening.
+ */
+function* isShownToRun(
+  { loop }: GatewayContext,
+  { connection, deadlineAtMs, otherDataAtMs }: CloseDelimitedResponse,
+  endedAtMs: number,
+): Task<boolean> {
+  const halfOpenUntilMs = Math.max(endedAtMs + HALF_OPEN_MS, loop.nowMs());
+  if (
+    halfOpenUntilMs <= deadlineAtMs &&
+    (yield* loop.settled(connection.staysHalfOpen(halfOpenUntilMs - loop.nowMs())))
+  ) {
+    return true;
+  }
+  const provenAtMs = endedAtMs + CLOSE_TOGETHER_LOSSY_MS;
+  const untilMs = Math.min(provenAtMs + OTHER_RESPONSE_MS, deadlineAtMs);
+  for (;;) {
+    const dataAtMs = otherDataAtMs();
+    if (dataAtMs === undefined || loop.nowMs() >= untilMs) {
+      return false;
+    }
+    if (dataAtMs > provenAtMs) {
+      return true;
+    }
+    yield* sleepUntil(Math.min(untilMs, loop.nowMs() + CHECK_INTERVAL_MS));
+  }
+}
+
 /**
  * Checks that the connection of the watch, which was open before the response ended, stays open. If nothing listens at
  * the address, it takes longer to rule out that the news of its close was lost.
