--- a/packages/gateway/src/blackboard.ts
+++ b/packages/gateway/src/blackboard.ts
@@ -8,6 +8,8 @@
 import type { LedgerAccount } from './money/account.ts';
 import type { SilentPeers } from './money/lenderOrder.ts';
 import type { PreviousIncarnation } from './money/liveness.ts';
+import type { RestorationState } from './money/storeRestoration.ts';
+import { createRestorationState } from './money/storeRestoration.ts';
 import type { MembershipReads } from './placement/coldAllowance.ts';
 import type { ColdRecords } from './placement/coldUpstreams.ts';
 import { MemoryAccount } from './memory/memoryAccount.ts';
@@ -83,6 +85,7 @@
   storeRecoveredAtMs: number | undefined;
   /** Era of the store: the number of its returns from a copy, as it counts them. Undefined for a store without eras. */
   storeEra: number | undefined;
+  readonly restoration: RestorationState;
 }
 
 export function createBlackboard(
@@ -123,5 +126,6 @@
     storeLastReplyAtMs: undefined,
     storeRecoveredAtMs: undefined,
     storeEra: undefined,
+    restoration: createRestorationState(),
   };
 }
--- a/packages/gateway/src/drain/drainController.ts
+++ b/packages/gateway/src/drain/drainController.ts
@@ -2,6 +2,7 @@
 import { sleepUntil } from '@pimentostall/core';
 import type { GatewayContext } from '../context.ts';
 import { wakeAccount } from '../money/account.ts';
+import { mayDraw } from '../money/storeRestoration.ts';
 import { LogLevel } from '../observability/log.ts';
 
 /** Interval at which a draining router checks whether all requests have finished. */
@@ -78,7 +79,7 @@
   const untilMs = Math.max(leastUntilMs, Math.min(loop.nowMs() + SHARE_RETURN_WAIT_MS, limitMs));
   yield* sleepUntil(leastUntilMs);
   const hasUnreturned = (): boolean =>
-    [...board.accounts.values()].some(({ ledger }) => ledger.planReturn() !== undefined);
+    [...board.accounts.values()].some(({ ledger }) => ledger.planReturn(mayDraw(board)) !== undefined);
   while (loop.nowMs() < untilMs && hasUnreturned()) {
     yield* sleepUntil(Math.min(untilMs, loop.nowMs() + DRAIN_CHECK_INTERVAL_MS));
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,6 +20,7 @@
 export { settleTokens, wakeAccount } from './money/account.ts';
 export type { BudgetReport } from './money/budgetSight.ts';
 export { handleStoreRecovery, openAccount } from './money/ledgerController.ts';
+export { beginStoreEra, followRestoration, restorationStatus } from './money/storeRestoration.ts';
 export { reserveTokens, ReserveOutcomeKind } from './money/reserveTokens.ts';
 export type { LoanReply, LoanRequest, PeerPort } from './money/lending.ts';
 export { lendTokens } from './money/lending.ts';
--- a/packages/gateway/src/money/__tests__/simulatedFleet.ts
+++ b/packages/gateway/src/money/__tests__/simulatedFleet.ts
@@ -8,8 +8,13 @@
 import { acceptLoanReturn, lendTokens, revokeLoan } from '../lending.ts';
 import type { LivenessRecord } from '../liveness.ts';
 import { reserveTokens, ReserveOutcomeKind } from '../reserveTokens.ts';
-import type { BudgetTotal, LedgerChange, LedgerOutcome, ShareRecord } from '../types.ts';
-import { EMPTY_TOTAL, LedgerOutcomeKind } from '../types.ts';
+import { beginStoreEra, restorationStatus } from '../storeRestoration.ts';
+import type { LedgerChange, LedgerOutcome } from '../types.ts';
+import { LedgerOutcomeKind } from '../types.ts';
+import { NEVER_VERSION, versionInEra } from '../../storeEra/storePosition.ts';
+import type { RouterEntry } from '../../types.ts';
+import type { RowsCopy } from './simulatedRows.ts';
+import { SimulatedRows } from './simulatedRows.ts';
 import { ORGANISATION, SimulatedRouter } from './simulatedRouter.ts';
 import { Timeline } from './timeline.ts';
 
@@ -31,11 +36,6 @@
   Busy = 'busy',
 }
 
-interface Row<T> {
-  readonly version: number;
-  readonly value: T;
-}
-
 /**
  * Routers that run the production ledger, liveness and lending code against a simulated store. The fleet tracks
  * spending independently of the ledgers: a reservation counts in full from the time at which its request may be sent.
@@ -50,23 +50,21 @@
   livenessWriteCount = 0;
   /** Tokens of loans whose replies were lost. */
   lostLoanTokens = 0;
-  /** Number of budget changes by their outcome at the store. */
-  readonly commits = { committed: 0, conflict: 0, rejected: 0 };
   private readonly routerProcesses: (SimulatedRouter | undefined)[];
   private readonly pausedUntilMs: number[];
   private readonly pausedTotalMs: number[];
   private processCount = 0;
-  private version = 0;
-  private total: Row<BudgetTotal> | undefined;
-  private readonly shares = new Map<number, Row<ShareRecord>>();
-  private readonly records = new Map<number, LivenessRecord>();
+  private readonly rows: SimulatedRows;
   private readonly clockSeen = new Map<SimulatedRouter, { storeMs: number; seenAtMs: number }>();
 
   constructor(
     routerCount: number,
     readonly budgetTokens: number,
     readonly random: RandomSource,
+    /** Number of returns of the store from a copy; undefined for a store that does not state it. */
+    storeEra?: number,
   ) {
+    this.rows = new SimulatedRows(storeEra);
     this.modes = Array.from({ length: routerCount }, () => StoreMode.Up);
     this.routerProcesses = Array.from({ length: routerCount }, () => undefined);
     this.pausedUntilMs = Array.from({ length: routerCount }, () => 0);
@@ -76,14 +74,19 @@
     }
   }
 
+  /** Number of budget changes by their outcome at the store. */
+  get commits(): SimulatedRows['commits'] {
+    return this.rows.commits;
+  }
+
   /** Tokens debited from the budget by all routers. */
   get grantedTokens(): number {
-    return this.total?.value.grantedTokens ?? 0;
+    return this.rows.total?.value.grantedTokens ?? 0;
   }
 
   /** Tokens of terminated incarnations that may have been spent without being reported. */
   get strandedTokens(): number {
-    return this.total?.value.strandedTokens ?? 0;
+    return this.rows.total?.value.strandedTokens ?? 0;
   }
 
   routerIndexes(): number[] {
@@ -126,6 +129,30 @@
     }
   }
 
+  takeCopy(): RowsCopy {
+    return this.rows.takeCopy();
+  }
+
+  /** The store comes back from a copy: what was written since is lost, and its versions are given out again. */
+  returnFromCopy(copy: RowsCopy): void {
+    this.rows.returnFromCopy(copy);
+  }
+
+  /** Writes a router's row and reads those of the others, as their heartbeats and followers do. */
+  exchangeRows(routerProcess: SimulatedRouter): Promise<ReadonlyMap<number, RouterEntry> | undefined> {
+    const { board, self } = routerProcess.context;
+    const entry = { ...self, ...restorationStatus(board) };
+    const exchange = (): ReadonlyMap<number, RouterEntry> => {
+      this.rows.routerRows.set(routerProcess.routerIndex, entry);
+      return new Map(this.rows.routerRows);
+    };
+    return this.call(routerProcess, exchange, undefined, false);
+  }
+
+  get hasEras(): boolean {
+    return this.rows.storeEra !== undefined;
+  }
+
   /** Makes the store reachable again for a router, whose store client then reports the recovery. */
   recoverStore(index: number): void {
     this.modes[index] = StoreMode.Up;
@@ -246,7 +273,11 @@
       routerProcess.context.board.storeLastReplyAtMs = routerProcess.context.loop.nowMs();
       return Promise.resolve({ kind: LedgerOutcomeKind.Rejected, detail: 'busy' });
     }
-    const apply = (): LedgerOutcome => this.applyChange(routerProcess.routerIndex, change);
+    const { storeEra: knownEra } = routerProcess.context.board;
+    const encode = (position: number): number => versionInEra(knownEra, position) ?? NEVER_VERSION;
+    const { shareVersion, totalVersion } = change.base;
+    const sent = { shareVersion: encode(shareVersion), totalVersion: encode(totalVersion) };
+    const apply = (): LedgerOutcome => this.rows.apply(routerProcess.routerIndex, change, sent, knownEra);
     return this.call(routerProcess, apply, { kind: LedgerOutcomeKind.Unknown, detail: '' }, true);
   }
 
@@ -254,7 +285,7 @@
     routerProcess: SimulatedRouter,
   ): Promise<{ record: LivenessRecord | undefined; readAtStoreMs: number } | undefined> {
     const read = (): { record: LivenessRecord | undefined; readAtStoreMs: number } => ({
-      record: this.records.get(routerProcess.routerIndex),
+      record: this.rows.records.get(routerProcess.routerIndex),
       readAtStoreMs: this.timeline.nowMs,
     });
     return this.call(routerProcess, read, undefined, false);
@@ -263,7 +294,7 @@
   writeLiveness(routerProcess: SimulatedRouter, record: LivenessRecord): Promise<boolean> {
     const write = (): boolean => {
       this.livenessWriteCount += 1;
-      this.records.set(routerProcess.routerIndex, record);
+      this.rows.records.set(routerProcess.routerIndex, record);
       return true;
     };
     return this.call(routerProcess, write, false, true);
@@ -366,8 +397,19 @@
       const finish = (delayMs: number, value: () => T, answered: boolean): void => {
         this.timeline.schedule(delayMs, () => {
           const result = value();
+          const { storeEra } = this.rows;
           const storeMs = this.timeline.nowMs;
           routerProcess.run(() => {
+            const { board } = routerProcess.context;
+            if (answered && storeEra !== undefined) {
+              if (storeEra < (board.storeEra ?? -Infinity)) {
+                resolve(noAnswer);
+                return;
+              }
+              if (storeEra !== board.storeEra) {
+                beginStoreEra(routerProcess.context, storeEra);
+              }
+            }
             if (answered) {
               routerProcess.context.board.storeLastReplyAtMs = routerProcess.context.loop.nowMs();
               this.clockSeen.set(routerProcess, { storeMs, seenAtMs: routerProcess.context.loop.nowMs() });
@@ -389,28 +431,4 @@
       finish(TIMEOUT_MS, () => noAnswer, false);
     });
   }
-
-  private applyChange(routerIndex: number, change: LedgerChange): LedgerOutcome {
-    const share = this.shares.get(routerIndex);
-    const totalMoved = change.total !== undefined && (this.total?.version ?? 0) !== change.base.totalVersion;
-    if (totalMoved || (share?.version ?? 0) !== change.base.shareVersion) {
-      this.commits.conflict += 1;
-      const rows = { shareVersion: share?.version ?? 0, share: share?.value };
-      return {
-        kind: LedgerOutcomeKind.Conflict,
-        // The store only returns the rows whose versions were part of the change.
-        snapshot:
-          change.total === undefined
-            ? { ...change.base, ...rows }
-            : { totalVersion: this.total?.version ?? 0, total: this.total?.value ?? EMPTY_TOTAL, ...rows },
-      };
-    }
-    this.commits.committed += 1;
-    this.version += 1;
-    if (change.total !== undefined) {
-      this.total = { version: this.version, value: change.total };
-    }
-    this.shares.set(routerIndex, { version: this.version, value: change.share });
-    return { kind: LedgerOutcomeKind.Committed, rowVersion: this.version };
-  }
 }
--- a/packages/gateway/src/money/__tests__/simulatedRouter.ts
+++ b/packages/gateway/src/money/__tests__/simulatedRouter.ts
@@ -1,3 +1,5 @@
+import type { Task } from '@pimentostall/core';
+import { sleepUntil } from '@pimentostall/core';
 import { createBlackboard } from '../../blackboard.ts';
 import type { GatewayContext } from '../../context.ts';
 import { GatewayMetrics } from '../../observability/metrics.ts';
@@ -7,9 +9,11 @@
 import { openAccount } from '../ledgerController.ts';
 import type { LivenessRecord } from '../liveness.ts';
 import { maintainLivenessRecord, readPreviousIncarnation } from '../liveness.ts';
+import { followRestoration } from '../storeRestoration.ts';
 import type { SimulatedFleet } from './simulatedFleet.ts';
 
 export const ORGANISATION = 'school';
+const HEARTBEAT_MS = 500;
 
 /** One incarnation of a router. */
 export class SimulatedRouter {
@@ -112,5 +116,20 @@
         openAccount(context, ORGANISATION);
       })(),
     );
+    if (fleet.hasEras) {
+      context.loop.spawn('restoration', followRestoration(context));
+      context.loop.spawn('heartbeat', this.exchangeRows());
+    }
+  }
+
+  private *exchangeRows(): Task<void> {
+    const { board, loop } = this.context;
+    while (!board.stopped) {
+      const rows = yield* loop.settled(this.fleet.exchangeRows(this));
+      for (const [index, entry] of rows ?? []) {
+        board.routers.set(`router-${index}`, { entry, changedAtMs: loop.nowMs() });
+      }
+      yield* sleepUntil(loop.nowMs() + HEARTBEAT_MS);
+    }
   }
 }
--- a/packages/gateway/src/money/ledgerController.ts
+++ b/packages/gateway/src/money/ledgerController.ts
@@ -9,6 +9,7 @@
 import { OrganisationLedger } from './organisationLedger.ts';
 import { returnIdleLoans } from './returnLoans.ts';
 import { ShareRoleKind, shareRole } from './shareRole.ts';
+import { mayDraw } from './storeRestoration.ts';
 import type { LedgerChange } from './types.ts';
 import { ChangeUrgency, LedgerOutcomeKind } from './types.ts';
 
@@ -25,6 +26,7 @@
         incarnationId: context.self.incarnationId,
         previousIncarnation: context.board.previousIncarnation,
         release: context.options.release,
+        storeEra: context.board.storeEra,
       },
       context.loop.nowMs(),
     ),
@@ -107,7 +109,7 @@
 function nextChange(context: GatewayContext, account: LedgerAccount): LedgerChange | undefined {
   const { board, loop, options } = context;
   if (board.returningShares && account.waiters.size === 0) {
-    return account.ledger.planReturn();
+    return account.ledger.planReturn(mayDraw(board));
   }
   const role = shareRole(context, account.organisationName);
   recordRole(context, account, role.kind);
@@ -120,6 +122,7 @@
       leastNeededTokens: needs.length === 0 ? 0 : Math.min(...needs),
       role,
       knownGrant: account.grant,
+      mayDraw: mayDraw(board),
       refreshesTotals: role.kind === ShareRoleKind.Home && needsTotals(context, account),
       settlePeriodMs: totalsPeriodMs(context, account),
       nowMs: loop.nowMs(),
@@ -239,7 +242,9 @@
   if (board.returningShares) {
     return ChangeUrgency.BeforeExit;
   }
-  return waiters.size > 0 || !ledger.isWithinLimit ? ChangeUrgency.Awaited : ChangeUrgency.Deferrable;
+  return waiters.size > 0 || ledger.isRestoring || !ledger.isWithinLimit
+    ? ChangeUrgency.Awaited
+    : ChangeUrgency.Deferrable;
 }
 
 function logOutcome(
--- a/packages/gateway/src/money/organisationLedger.ts
+++ b/packages/gateway/src/money/organisationLedger.ts
@@ -3,11 +3,11 @@
 import type { SharePlanOptions } from './planShare.ts';
 import { planShare } from './planShare.ts';
 import type { KnownGrant } from './knownGrant.ts';
-import type { PreviousIncarnation } from './liveness.ts';
-import type { ReleaseOptions } from './release.ts';
+import type { LedgerIdentity, LedgerPlanInput } from './ledgerInput.ts';
+import { recoverableTokens } from './previousShare.ts';
 import { spendableTokens } from './release.ts';
 import type { ShareRole } from './shareRole.ts';
-import { ShareRoleKind } from './shareRole.ts';
+import { drawingRouterCount, ShareRoleKind } from './shareRole.ts';
 import type { LedgerChange, LedgerOutcome, LedgerSnapshot, ShareRecord } from './types.ts';
 import { EMPTY_SNAPSHOT, LedgerOutcomeKind } from './types.ts';
 
@@ -21,32 +21,11 @@
 const LIMIT_REFRESH_FRACTION = 0.6;
 /** The same for a home router, whose limit is raised as soon as it falls below and not once per period. */
 const HOME_LIMIT_REFRESH_FRACTION = 0.5;
+/** Earlier eras of the store whose late changes are refused; a return takes longer than a store performs a write late. */
+const MAX_CLOSED_ERAS = 4;
 /** Age up to which the totals tell how much of the budget is left. */
 const RECENT_TOTALS_MS = 5_000;
 
-export interface LedgerIdentity {
-  readonly incarnationId: string;
-  readonly previousIncarnation: PreviousIncarnation;
-  readonly release: ReleaseOptions;
-}
-
-export interface LedgerPlanInput {
-  /** The organisation's current budget. */
-  readonly budgetTokens: number;
-  /** Tokens that all waiting requests need together. */
-  readonly neededTokens: number;
-  /** Tokens of the smallest waiting request; 0 if none waits. */
-  readonly leastNeededTokens: number;
-  readonly role: ShareRole;
-  /** How much of the budget is drawn, by the newest reply of the store or of a lender. */
-  readonly knownGrant: KnownGrant;
-  /** True if the totals must be read again because the budget was cut since. */
-  readonly refreshesTotals: boolean;
-  /** Maximum time until spending is reported in the totals. */
-  readonly settlePeriodMs: number;
-  readonly nowMs: number;
-}
-
 /**
  * One router's share of one organisation's budget. Tokens are spent only after the store has debited them, so the
  * budget cannot be exceeded, whatever happens to this process, its clock or its network.
@@ -56,11 +35,19 @@
  *
  * A change without a reply may or may not have been applied, and can no longer be applied once another change is
  * committed on the same versions. Until a reply shows the current rows, the lower amounts of all candidates apply.
+ *
+ * A store that comes back from a copy has lost the latest changes, but the tokens were debited from the budget before.
+ * The share stays spendable, and its amounts are written again: the totals grow by what the share row lacks.
  */
 export class OrganisationLedger {
   private snapshot: LedgerSnapshot = EMPTY_SNAPSHOT;
   /** Changes without a reply. All of them are based on the current snapshot, so at most one can be applied. */
   private unanswered: LedgerChange[] = [];
+  private storeEra: number | undefined;
+  /** Eras of the store in which this ledger has sent changes. */
+  private earlierEras: readonly number[] = [];
+  /** Amounts of the share when the store came back from a copy; undefined once they are written again. */
+  private unrestored: ShareRecord | undefined;
   private spentTokens = 0;
   private reservedTokens = 0;
   private largestRequestTokens = 0;
@@ -89,6 +76,29 @@
   ) {
     this.ownDemand = new DemandRate(nowMs);
     this.fleetDemand = new DemandRate(nowMs);
+    this.storeEra = identity.storeEra;
+  }
+
+  /** True until the amounts of the share are written again after a return of the store. */
+  get isRestoring(): boolean {
+    return this.unrestored !== undefined;
+  }
+
+  /** Called when the store has come back from a copy, before a reply of the new era is used. */
+  beginEra(era: number): void {
+    if (this.storeEra !== undefined) {
+      this.earlierEras = [...this.earlierEras, this.storeEra].slice(-MAX_CLOSED_ERAS);
+    }
+    this.storeEra = era;
+    if (this.heldShare !== undefined || this.unanswered.length > 0) {
+      this.unrestored = {
+        incarnationId: this.identity.incarnationId,
+        grantedTokens: this.minShareAmount(({ grantedTokens }) => grantedTokens),
+        settledTokens: this.minShareAmount(({ settledTokens }) => settledTokens),
+        limitTokens: this.minShareAmount(({ limitTokens }) => limitTokens),
+        releaseTokensPerSecond: this.minShareAmount(({ releaseTokensPerSecond }) => releaseTokensPerSecond),
+      };
+    }
   }
 
   /** Tokens of the share that are neither spent nor reserved. */
@@ -104,7 +114,7 @@
 
   /** True if the share, or a change of it without a reply, holds tokens that are only released in a store outage. */
   get hasTokensBeyondLimit(): boolean {
-    const candidates = [this.ownShare, ...this.unanswered.map(({ share }) => share)];
+    const candidates = [this.heldShare, ...this.unanswered.map(({ share }) => share)];
     return candidates.some((share) => share !== undefined && share.grantedTokens > share.limitTokens);
   }
 
@@ -128,7 +138,7 @@
 
   /** True if the limit is nearly used up and the share holds tokens beyond it. */
   get isLimitLow(): boolean {
-    const own = this.ownShare;
+    const own = this.heldShare;
     return (
       own !== undefined &&
       own.grantedTokens > own.limitTokens &&
@@ -211,9 +221,13 @@
 
   /** Returns the next transaction, or undefined if no change is needed. */
   plan(input: LedgerPlanInput, options: SharePlanOptions): LedgerChange | undefined {
-    const { budgetTokens, neededTokens, leastNeededTokens, role, settlePeriodMs, nowMs } = input;
+    const { budgetTokens, neededTokens, leastNeededTokens, mayDraw, role, settlePeriodMs, nowMs } = input;
+    if (!mayDraw && this.heldShare === undefined) {
+      // The row of an earlier incarnation may lack what it has spent.
+      return undefined;
+    }
     const grantedTokens = this.newestGrantedTokens(input.knownGrant);
-    if (neededTokens === 0 && this.livesOnLoans(role, grantedTokens > budgetTokens)) {
+    if (!this.isRestoring && neededTokens === 0 && this.livesOnLoans(role, grantedTokens > budgetTokens)) {
       return undefined;
     }
     const freeTokens = Math.max(0, this.freeTokens);
@@ -223,7 +237,7 @@
     const isHome = role.kind === ShareRoleKind.Home;
     // Assumed demand of the fleet, of which `demandFraction` attributes an equal part to each router that draws.
     const fleetPrior = budgetTokens * PRIOR_DEMAND_PER_SECOND;
-    const delta = planShare(
+    const plannedDelta = planShare(
       {
         freeTokens,
         neededTokens: Math.max(0, neededTokens - freeTokens),
@@ -243,6 +257,7 @@
       },
       options,
     );
+    const delta = this.isRestoring ? 0 : mayDraw ? plannedDelta : Math.min(0, plannedDelta);
     const limitHorizonMs = isHome ? options.homeLimitHorizonMs : options.limitHorizonMs;
     const headroomTokens = (ownDemand * limitHorizonMs) / 1_000;
     this.lowHeadroomTokens = isHome ? headroomTokens * HOME_LIMIT_REFRESH_FRACTION : 0;
@@ -250,6 +265,9 @@
       limitTokens: this.usedTokens + Math.max(headroomTokens, neededTokens),
       releaseTokensPerSecond: ownDemand * options.releaseDemandFactor + this.largestRequestTokens / 2,
     });
+    if (this.isRestoring) {
+      return change;
+    }
     const refreshFraction = isHome ? HOME_LIMIT_REFRESH_FRACTION : LIMIT_REFRESH_FRACTION;
     const leastHeadroomTokens = Math.max(headroomTokens * refreshFraction, neededTokens);
     const refreshesTotals = input.refreshesTotals && this.unanswered.length === 0;
@@ -300,7 +318,10 @@
   }
 
   /** Returns a transaction that gives back all free tokens when the router shuts down; undefined if none is needed. */
-  planReturn(): LedgerChange | undefined {
+  planReturn(mayDraw: boolean): LedgerChange | undefined {
+    if (!mayDraw && this.heldShare === undefined) {
+      return undefined;
+    }
     const hasNoRow = this.ownShare === undefined && !this.hasUnrecoveredShare;
     if (hasNoRow && this.syncedAtMs !== undefined && this.unanswered.length === 0 && this.freeTokens <= 0) {
       return undefined;
@@ -309,7 +330,7 @@
       limitTokens: this.usedTokens,
       releaseTokensPerSecond: 0,
     });
-    return this.isChangeNeeded(change, 0) ? change : undefined;
+    return this.isRestoring || this.isChangeNeeded(change, 0) ? change : undefined;
   }
 
   /** Must be called before the change is sent, so that returned tokens cannot be spent while the outcome is open. */
@@ -333,6 +354,9 @@
           },
           nowMs,
         );
+        if (change.share.storeEra === this.storeEra) {
+          this.unrestored = undefined;
+        }
         if (change.total !== undefined) {
           this.totalsCommittedAtMs = nowMs;
           this.totalsSyncedAtMs = nowMs;
@@ -357,7 +381,7 @@
     if (snapshot.totalVersion > 0) {
       const settled = snapshot.total.settledTokens;
       this.fleetDemand.record(Math.max(0, settled - (this.lastSettledTotalTokens ?? settled)), nowMs);
-      this.lastSettledTotalTokens = settled;
+      this.lastSettledTotalTokens = Math.max(settled, this.lastSettledTotalTokens ?? settled);
     }
   }
 
@@ -371,6 +395,11 @@
     return share?.incarnationId === this.identity.incarnationId ? share : undefined;
   }
 
+  /** The amounts of this incarnation's share, which the share row may lack after a return of the store. */
+  private get heldShare(): ShareRecord | undefined {
+    return this.unrestored ?? this.ownShare;
+  }
+
   /** True if the share row of an earlier incarnation has tokens that were not reported as spent. */
   private get hasUnrecoveredShare(): boolean {
     const { share } = this.snapshot;
@@ -379,21 +408,16 @@
 
   /** Tokens granted to an earlier incarnation that it cannot have spent. */
   private get recoverableTokens(): number {
+    const { incarnationId, previousIncarnation } = this.identity;
     const { share } = this.snapshot;
-    if (share === undefined || share.incarnationId === this.identity.incarnationId) {
-      return 0;
-    }
-    const { record, readAtStoreMs } = this.identity.previousIncarnation;
-    if (record?.incarnationId !== share.incarnationId) {
-      return 0;
-    }
-    const spendable = spendableTokens(share, readAtStoreMs - record.writtenAtStoreMs, record);
-    return Math.max(0, share.grantedTokens - Math.max(spendable, share.settledTokens));
+    return share === undefined || share.incarnationId === incarnationId
+      ? 0
+      : recoverableTokens(share, previousIncarnation, this.storeEra);
   }
 
   /** Minimum of an amount over the share row and its unanswered changes; 0 if this incarnation has no row yet. */
   private minShareAmount(amount: (share: ShareRecord) => number): number {
-    const own = this.ownShare;
+    const own = this.heldShare;
     return this.unanswered.reduce(
       (lowest, { share }) => Math.min(lowest, amount(share)),
       own === undefined ? 0 : amount(own),
@@ -409,11 +433,11 @@
     const recovered = this.recoverableTokens;
     const stranded =
       own === undefined && share !== undefined ? share.grantedTokens - recovered - share.settledTokens : 0;
-    const grantedTokens = (own?.grantedTokens ?? 0) + deltaTokens;
+    const grantedTokens = (this.heldShare?.grantedTokens ?? 0) + deltaTokens;
     return {
       base: this.snapshot,
       total: {
-        grantedTokens: total.grantedTokens - recovered + deltaTokens,
+        grantedTokens: total.grantedTokens - recovered + grantedTokens - (own?.grantedTokens ?? 0),
         settledTokens: total.settledTokens + this.spentTokens - (own?.settledTokens ?? 0),
         strandedTokens: total.strandedTokens + stranded,
       },
@@ -423,7 +447,9 @@
         settledTokens: this.spentTokens,
         limitTokens: Math.min(grantedTokens, Math.ceil(limitTokens)),
         releaseTokensPerSecond: Math.ceil(releaseTokensPerSecond),
+        storeEra: this.storeEra,
       },
+      ...(this.isRestoring && { closedEras: this.earlierEras }),
     };
   }
 
@@ -484,15 +510,3 @@
     }
   }
 }
-
-/** Number of routers among which the assumed demand is divided. */
-function drawingRouterCount(role: ShareRole): number {
-  switch (role.kind) {
-    case ShareRoleKind.Home:
-      return role.homeCount;
-    case ShareRoleKind.Independent:
-      return role.routerCount;
-    case ShareRoleKind.Borrower:
-      return 1;
-  }
-}
--- a/packages/gateway/src/money/reserveForRequest.ts
+++ b/packages/gateway/src/money/reserveForRequest.ts
@@ -5,6 +5,7 @@
 import { areTokensExpected } from './budgetSight.ts';
 import type { ReserveOutcomeKind } from './reserveTokens.ts';
 import { reserveTokens } from './reserveTokens.ts';
+import { mayDraw } from './storeRestoration.ts';
 import { tokenWaitMs } from './tokenWait.ts';
 
 export interface RequestReservation {
@@ -33,6 +34,9 @@
 function areTokensInBudget(context: GatewayContext, account: LedgerAccount, tokens: number): boolean {
   const undrawnTokens =
     budgetOf(context.board, account.organisationName) - account.ledger.rows.total.grantedTokens;
+  if (!mayDraw(context.board)) {
+    return false;
+  }
   return (
     (knowsTotals(context, account) && undrawnTokens >= tokens) ||
     areTokensExpected(account.sight, tokens, context.loop.nowMs())
--- a/packages/gateway/src/money/shareRole.ts
+++ b/packages/gateway/src/money/shareRole.ts
@@ -29,3 +29,15 @@
     ? { kind: ShareRoleKind.Home, homeCount: homes.length }
     : { kind: ShareRoleKind.Borrower };
 }
+
+/** Number of routers among which the assumed demand is divided. */
+export function drawingRouterCount(role: ShareRole): number {
+  switch (role.kind) {
+    case ShareRoleKind.Home:
+      return role.homeCount;
+    case ShareRoleKind.Independent:
+      return role.routerCount;
+    case ShareRoleKind.Borrower:
+      return 1;
+  }
+}
--- a/packages/gateway/src/money/types.ts
+++ b/packages/gateway/src/money/types.ts
@@ -19,6 +19,8 @@
   readonly limitTokens: number;
   /** Rate at which the limit rises while the store does not respond. */
   readonly releaseTokensPerSecond: number;
+  /** Era of the store in which the row was written; undefined for a store without eras. */
+  readonly storeEra?: number | undefined;
 }
 
 /** Both rows with their versions for optimistic locking; version 0 means that the row does not exist. */
@@ -36,6 +38,8 @@
   /** Undefined if the totals do not change; the transaction then cannot conflict with other routers. */
   readonly total: BudgetTotal | undefined;
   readonly share: ShareRecord;
+  /** Eras of the store whose changes are refused from this one on, also if the store performs them late. */
+  readonly closedEras?: readonly number[];
 }
 
 export enum LedgerOutcomeKind {
--- a/packages/gateway/src/requests/attemptWatch.ts
+++ b/packages/gateway/src/requests/attemptWatch.ts
@@ -35,12 +35,13 @@
 export function* confirmEnd(
   context: GatewayContext,
   { deadlineAtMs }: ServedRequest,
-  { call, number, placement, sentAtMs, watch }: AttemptProgress,
+  { call, number, placement, sentAtMs, watch, watchUpstream }: AttemptProgress,
   event: RequestEvent,
 ): Task<RequestEvent> {
   if (event.kind !== RequestEventKind.UpstreamEnd || event.attempt !== number || !event.endsWithConnection) {
     return event;
   }
+  placement.upstream.sentAttempts.delete(watchUpstream);
   const doubt = yield* findEndDoubt(context, {
     upstream: placement.upstream.entry,
     watch,
@@ -48,7 +49,7 @@
     deadlineAtMs,
     connection: call,
     otherDataAtMs: () =>
-      placement.upstream.sentAttempts.size > 1 ? placement.upstream.lastDataAtMs : undefined,
+      placement.upstream.sentAttempts.size > 0 ? placement.upstream.lastDataAtMs : undefined,
   });
   context.metrics.count('pimentostall_close_delimited_responses_total', `end="${doubt ?? 'complete'}"`);
   return doubt === undefined
--- a/packages/gateway/src/requests/serveRequest.ts
+++ b/packages/gateway/src/requests/serveRequest.ts
@@ -5,6 +5,7 @@
 import { budgetOf, settleTokens } from '../money/account.ts';
 import { openAccount } from '../money/ledgerController.ts';
 import { reserveForRequest } from '../money/reserveForRequest.ts';
+import { restorationWaitMs } from '../money/storeRestoration.ts';
 import { ReserveOutcomeKind } from '../money/reserveTokens.ts';
 import { LogLevel } from '../observability/log.ts';
 import type { Placement } from '../placement/chooseUpstream.ts';
@@ -130,6 +131,7 @@
     if (rejectionReason !== undefined) {
       finish(context, request.exchange, request, rejectionReason, 'no tokens could be reserved', {
         fields: budgetLogFields(context, request),
+        ...tokenRetryDelay(context, request),
       });
       return;
     }
@@ -173,6 +175,13 @@
   }
 }
 
+/** Delay of a request that was refused for lack of tokens, while no tokens are drawn after a return of the store. */
+function tokenRetryDelay(context: GatewayContext, { deadlineAtMs }: ServedRequest): FinishOptions {
+  const resumesInMs = restorationWaitMs(context);
+  const remainingMs = deadlineAtMs - context.loop.nowMs();
+  return resumesInMs > 0 ? { retryAfterMs: resumeDelayMs({ resumesInMs, remainingMs }, context.random) } : {};
+}
+
 /** Log fields that explain a rejection for lack of tokens: the ledger state with its version and age. */
 function budgetLogFields(context: GatewayContext, request: ServedRequest): Readonly<Record<string, unknown>> {
   const { usage } = request.exchange.head;
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -125,6 +125,10 @@
   readonly region: string;
   readonly availabilityZone: string;
   readonly ready: boolean;
+  /** Newest era of the store whose rows include all shares of the router; undefined for a store without eras. */
+  readonly restoredEra?: number | undefined;
+  /** Newest era of the store in which the router draws tokens. */
+  readonly drawEra?: number | undefined;
 }
 
 /** A segment of a prompt, either shared with other prompts or specific to this one. */
